Tables keep a time of their own; purges, tombstones, ids and keys go by it

Cause: purge rows and tombstones were never dropped; claims and change ids were forgotten by number (5,000 and 1,000), so a key sent again after 5,000 others ran again, and in a storm of 400 changes a second an id was forgotten 2.5 s later, whose sender was then told a rejection for a change in force.

Ruled out: wall clocks (they jump); a time for each row set by its writer (writers have no common clock); dropping purges by the longest life alone (a node cut off past it would serve what they struck).

Change: `~time` in each table is raised by the holder of a duty, conditional on the serial it saw, by what went by on its monotonic clock since it saw it. Marks of (time, tip) tell which rows have stood long enough. Purges go after the longest life and a margin, and `~purged` keeps the newest serial dropped: whatever was fetched under an older tip is not used. Keys are kept for keys_kept seconds (1,200); when 50,000 are held, new ones are rejected with the time until the oldest goes.

Through total loss the time stands still, so keys are kept the longer.

--- a/src/irisstand/agency/assembly.py
+++ b/src/irisstand/agency/assembly.py
@@ -5,7 +5,7 @@
 from irisstand import blackboard, clocks
 from irisstand import boot as booting
 from irisstand.agency import core as cores
-from irisstand.agency import duties, founding, placement, pulse, staffing, submitting, watch
+from irisstand.agency import duties, founding, placement, pulse, retention, staffing, submitting, watch
 from irisstand.agency import taker as takers
 from irisstand.ledger import disk as disks
 from irisstand.ledger import items
@@ -29,6 +29,8 @@
         placer, staffer = placement.Placement(self.board), staffing.Staffing(self.board)
         self.duties.append(duties.Duty(self.submitter, "placement", placer.work))
         self.duties.append(duties.Duty(self.submitter, "staffing", staffer.work))
+        self.retention = retention.Retention(self.board)
+        self.duties.append(duties.Duty(self.submitter, "retention", self.retention.work))
 
     async def open(self) -> None:
         # The disk is read before any port opens: no colleague may hear a voter that does not know its word.
--- a/src/irisstand/agency/orders.py
+++ b/src/irisstand/agency/orders.py
@@ -4,47 +4,16 @@
 import typing
 
 from irisstand import errors
-from irisstand.ledger import items, quorum, serials, tables
+from irisstand.agency import overlay as overlays
+from irisstand.agency import tabletime
+from irisstand.ledger import items, quorum, serials
 from irisstand.vetting import rules, schema
 
-# How many are kept, by prefix; forgetting goes by hundreds, as it has to look through all of them.
-KEPT = {"~change/": 1000, "claim/": 5000}
-SLACK = 200
-
-
-class Order(typing.NamedTuple):
-    """`change` is the sender's id for it: the same id again returns the first one's result."""
-
-    kind: str
-    change: str
-    payload: typing.Any
-
-
-class Overlay:
-    """The table with the rows planned so far on top."""
-
-    def __init__(self, copy: tables.Copy, serial: serials.Serial) -> None:
-        self.copy, self.new_serial = copy, serial
-        self.rows: dict[str, tuple[typing.Any, bool]] = {}
-
-    def value(self, key: str) -> typing.Any:
-        return self.rows[key][0] if key in self.rows else self.copy.value(key)
-
-    def serial(self, key: str) -> serials.Serial:
-        if key in self.rows:
-            return serials.NONE if self.rows[key][1] else self.new_serial
-        return self.copy.serial(key)
-
-    def under(self, prefix: str) -> dict[str, typing.Any]:
-        found = {item.key: item.value for item in self.copy.under(prefix)}
-        found.update({key: value for key, (value, _) in self.rows.items() if key.startswith(prefix)})
-        return {key: value for key, value in found.items() if value is not None}
-
-    def batch(self) -> items.Batch:
-        rows = tuple((key, value, forget) for key, (value, forget) in self.rows.items())
-        return items.Batch(self.new_serial, self.copy.tip, rows)
-
+# Remembered at the most: beyond that, new ones wait until the oldest have stood for long enough.
+CLAIMS_LIMIT = 50_000
+CHANGES_LIMIT = 50_000
 
+Order, Overlay = overlays.Order, overlays.Overlay
 Planned = dict[str, typing.Any]
 
 
@@ -141,6 +110,8 @@
     known = overlay.value(f"claim/{key}")
     if known is not None and known["by"] != attempt:
         raise errors.Claimed(known)
+    if known is None:
+        tabletime.check_room(overlay, "claim", CLAIMS_LIMIT)
     return {f"claim/{key}": {"by": attempt, "print": fingerprint, "state": "claimed"}}
 
 
@@ -166,6 +137,9 @@
     "settle": (items.CLAIMS, plan_settle),
     "term": (items.LEDGER, plan_term),
     "fenced": (items.LEDGER, plan_fenced),
+    "tick-blueprint": (items.BLUEPRINT, tabletime.plan_tick),
+    "tick-ledger": (items.LEDGER, tabletime.plan_tick),
+    "tick-claims": (items.CLAIMS, tabletime.plan_tick),
 }
 
 
@@ -181,20 +155,12 @@
     known = overlay.value(record) if order.change else None
     if known is not None:
         return (overlay.serial(record), known["rows"])
+    if order.change:
+        tabletime.check_room(overlay, "~change", CHANGES_LIMIT)
     planned = REGISTRY[order.kind][1](overlay, order.payload)
     keys = [key for key in planned if not key.startswith(items.RESERVED)]
     for key, value in planned.items():
-        overlay.rows[key] = (value, False)
+        overlay.put(key, value)
     if order.change:
-        overlay.rows[record] = ({"rows": keys}, False)
+        overlay.put(record, {"rows": keys})
     return (overlay.new_serial, keys)
-
-
-def trim(overlay: Overlay) -> None:
-    """Forget the oldest change records and claims, so that no table grows with its history."""
-    for prefix, kept in KEPT.items():
-        if len(overlay.copy.items) <= kept + SLACK:
-            continue
-        found = [item for item in overlay.copy.items.values() if item.key.startswith(prefix)]
-        for item in sorted(found, key=lambda item: item.serial)[: max(0, len(found) - kept)]:
-            overlay.rows.setdefault(item.key, (None, True))
--- /dev/null
+++ b/src/irisstand/agency/tabletime.py
@@ -0,0 +1,119 @@
+"""Each table's own time, and what has stood in it for long enough to be forgotten.
+
+Table time is a row that a holder of a duty raises by what went by on its monotonic clock since it saw the
+row's last serial. It never runs faster than real time, whoever raises it, and stands still while nobody does.
+So what is to be kept for an hour of it is kept for an hour at the least, through changes of holder and total
+loss.
+"""
+
+import typing
+
+from irisstand import errors
+from irisstand.agency import overlay as overlays
+from irisstand.ledger import items, serials
+
+# A step longer than this is a holder that slept; counting less is always safe.
+STEP_LIMIT = 60.0
+# How much closer than their age marks may lie together.
+CLOSENESS = 0.1
+FORGET_LIMIT = 2000
+
+
+class Rule(typing.NamedTuple):
+    """Rows under `prefix` go when older than `keep`, or than `must` where there are more than `number`."""
+
+    prefix: str
+    keep: float
+    must: float
+    number: int
+
+
+def thin(marks: list, now: float) -> list:
+    """Marks close together when young and far apart when old, so that a day of them stays short.
+
+    >>> marks = []
+    >>> for second in range(0, 100000, 15): marks = thin([*marks, [second, second, "n"]], second)
+    >>> len(marks) < 120, max(b[0] - a[0] for a, b in zip(marks, marks[1:])) < 30000
+    (True, True)
+    """
+    kept = list(marks)
+    place = 1
+    while place < len(kept) - 1:
+        if kept[place + 1][0] - kept[place - 1][0] <= CLOSENESS * (now - kept[place + 1][0]):
+            del kept[place]
+        else:
+            place += 1
+    return kept
+
+
+class Time:
+    """Table time as a table says it is."""
+
+    def __init__(self, row: dict | None) -> None:
+        row = row or {"seconds": 0.0, "marks": []}
+        self.seconds, self.marks = float(row["seconds"]), list(row["marks"])
+
+    def older_than(self, keep: float) -> serials.Serial:
+        """Rows up to this serial have stood for at least `keep` seconds."""
+        found = [mark for mark in self.marks if mark[0] <= self.seconds - keep]
+        return serials.Serial(found[-1][1], found[-1][2]) if found else serials.NONE
+
+    def left(self, serial: serials.Serial, keep: float) -> float:
+        """Seconds until a row of this serial will have stood for `keep`, about."""
+        after = [mark[0] for mark in self.marks if (mark[1], mark[2]) >= tuple(serial)]
+        return max(1.0, keep - (self.seconds - after[0] if after else 0.0))
+
+
+def plan_tick(overlay: overlays.Overlay, payload: typing.Any) -> dict[str, typing.Any]:
+    """Raise the table's time from the serial that the holder saw, and forget what is old enough."""
+    expected, elapsed, rules, tombstones = payload
+    if str(overlay.serial(items.TIME)) != expected:
+        raise errors.StaleSerial([{"time": expected, "in_force": str(overlay.serial(items.TIME))}])
+    time = Time(overlay.value(items.TIME))
+    time.seconds += min(max(0.0, float(elapsed)), STEP_LIMIT)
+    # All that stands at this moment is marked by the tip that it stands under.
+    time.marks = thin([*time.marks, [time.seconds, *overlay.copy.tip]], time.seconds)
+    forget(overlay, time, [Rule(*rule) for rule in rules], float(tombstones))
+    kept = [list(rule) for rule in rules]
+    return {items.TIME: {"seconds": time.seconds, "marks": time.marks, "rules": kept}}
+
+
+def forget(overlay: overlays.Overlay, time: Time, rules: list[Rule], tombstones: float) -> None:
+    cuts = {rule.prefix: (time.older_than(rule.keep), time.older_than(rule.must)) for rule in rules}
+    over = {rule.prefix: overlay.copy.counts[rule.prefix] - rule.number for rule in rules}
+    dead = time.older_than(tombstones)
+    newest = max([dead, *(cut for pair in cuts.values() for cut in pair)])
+    purged = serials.NONE
+    gone = 0
+    # From the oldest on, so that what is left over for the next step is the newest.
+    for serial, key in overlay.copy.by_serial:
+        if serial > newest or gone >= FORGET_LIMIT:
+            break
+        prefix = key.partition("/")[0]
+        old, oldest = cuts.get(prefix, (serials.NONE, serials.NONE))
+        # Copies are carried by tips and whole, so a copy that lacks a tombstone cannot bring its row back.
+        is_dead = serial <= dead and overlay.copy.items[key].value is None
+        if not is_dead and serial > old and not (serial <= oldest and over.get(prefix, 0) > 0):
+            continue
+        # Changed in this very batch, it is no longer old.
+        if key in overlay.rows:
+            continue
+        overlay.put(key, None, True)
+        over[prefix] = over.get(prefix, 0) - 1
+        gone += 1
+        if prefix == "purge":
+            purged = max(purged, serial)
+    before = serials.decode(overlay.value(items.PURGED) or serials.NONE)
+    if purged > before:
+        overlay.put(items.PURGED, tuple(purged))
+
+
+def check_room(overlay: overlays.Overlay, prefix: str, limit: int) -> None:
+    """Rather than forget what is still to be known, new ones wait until the oldest have stood long enough."""
+    if overlay.count(prefix) < limit:
+        return
+    row = overlay.value(items.TIME) or {"seconds": 0.0, "marks": [], "rules": []}
+    keep = next((rule[2] for rule in row["rules"] if rule[0] == prefix), STEP_LIMIT)
+    oldest = next(s for s, key in overlay.copy.by_serial if key.startswith(prefix + "/"))
+    wait = Time(row).left(oldest, keep)
+    raise errors.TableFull(f"{limit} of {prefix} are remembered", retry_after=min(600.0, wait))
--- a/src/irisstand/agency/taker.py
+++ b/src/irisstand/agency/taker.py
@@ -10,6 +10,7 @@
 
 PATIENCE = 4.0
 BATCH_LIMIT = 64
+BATCH_BYTES = 2 * 1024 * 1024
 
 
 class Waiting(typing.NamedTuple):
@@ -102,7 +103,6 @@
             planned, undecided = self.plan(overlay, waiting)
             # A batch without rows moves the tip, which settles that an earlier proposal never counts.
             if overlay.rows or undecided:
-                orders.trim(overlay)
                 for entry, (_, keys) in planned:
                     entry.proposed.append((self.copy.tip, ballot, keys))
                 await self.propose(voters, ballot, overlay.batch())
@@ -121,7 +121,8 @@
         """What can be proposed, and whether a rejection has to wait for this base to be decided."""
         planned, undecided = [], False
         for entry in waiting:
-            if entry.future.done():
+            # What is too much for one frame is left for the next ballot.
+            if entry.future.done() or overlay.size > BATCH_BYTES:
                 continue
             # Another taker may have finished an earlier proposal of it: then it is done, not stale.
             for _, serial, keys in entry.proposed:
--- a/src/irisstand/boot.py
+++ b/src/irisstand/boot.py
@@ -31,6 +31,7 @@
     farewell: float = 0.5
     replace_after: float = 60.0
     cache_bytes: int = 256 * 1024 * 1024
+    keys_kept: float = 1200.0
 
 
 def word(value: typing.Any) -> str:
@@ -105,6 +106,9 @@
     "replace_after": (
         number_between(1, 86400), "seconds that a voter must be gone before a spare takes its place (agency)",
     ),
+    "keys_kept": (
+        number_between(60, 86400), "seconds for which an Idempotency-Key is remembered at the least (agency)",
+    ),
     "cache_bytes": (number_between(0, 1 << 40, int), "memory for cached objects, in bytes"),
 }
 OPTIONAL = set(Boot._field_defaults)
--- a/src/irisstand/errors.py
+++ b/src/irisstand/errors.py
@@ -173,6 +173,13 @@
     code, status, remedy = "no-claim", 503, "wait for Retry-After seconds; the core could not record the key"
 
 
+class TableFull(IrisError):
+    """Nothing that is still to be remembered is forgotten to make room."""
+
+    code, status = "table-full", 503
+    remedy = "wait for Retry-After seconds; the oldest will be gone by then"
+
+
 class NotFounded(IrisError):
     code, status, remedy = "not-founded", 503, "wait until all founding cores have met"
 
@@ -201,6 +208,7 @@
         Unreached, Unanswered, OutcomeUnknown, StaleBlueprint, UnknownPath, MethodRejected, DeadlinePassed,
         OverCeiling, NoShare, NoOrigin, OriginFailed, NoShield, Draining, UnsealedResult, WrongService,
         NoMajority, NotFounded, DiskFull, Unknown, BadRequest, KeyReused, NoClaim, SiteEvacuated,
+        TableFull,
     )
 }  # fmt: skip
 
--- a/src/irisstand/ledger/items.py
+++ b/src/irisstand/ledger/items.py
@@ -11,6 +11,10 @@
 # Keys that begin with this are the system's own and are not shown as operators' rows.
 RESERVED = "~"
 VOTERS = "~voters"
+# How long a table has been kept, by its own time.
+TIME = "~time"
+# Purges up to this serial may have been forgotten: what was fetched under an older tip is not used.
+PURGED = "~purged"
 
 
 class Item(typing.NamedTuple):
--- a/src/irisstand/noticeboard/claims.py
+++ b/src/irisstand/noticeboard/claims.py
@@ -13,7 +13,7 @@
 
 PATIENCE = 1.5
 # A larger result is not kept with the claim: the second asker learns only that the first one ran.
-RESULT_LIMIT = 16 * 1024
+RESULT_LIMIT = 4 * 1024
 
 Work = collections.abc.Callable[[], collections.abc.Awaitable[tuple]]
 
--- a/src/irisstand/noticeboard/decisions.py
+++ b/src/irisstand/noticeboard/decisions.py
@@ -13,7 +13,7 @@
 # A shield says these only when no byte of the request has gone towards an origin.
 CERTAINLY_NOT_RUN = (
     "unreached", "over-ceiling", "no-share", "no-origin", "stale-blueprint", "draining", "unknown-path",
-    "method-rejected", "deadline-passed", "key-reused", "no-claim",
+    "method-rejected", "deadline-passed", "key-reused", "no-claim", "table-full",
 )  # fmt: skip
 WORTH_ANOTHER_SHIELD = ("unreached", "over-ceiling", "no-share", "no-origin", "stale-blueprint", "draining")
 
--- a/src/irisstand/noticeboard/views.py
+++ b/src/irisstand/noticeboard/views.py
@@ -3,7 +3,7 @@
 import typing
 
 from irisstand import blackboard, errors
-from irisstand.ledger import serials
+from irisstand.ledger import items, serials
 from irisstand.rollcall import updates
 from irisstand.shortlist import draws, shares, slots
 
@@ -79,10 +79,13 @@
         )  # fmt: skip
 
     def purged_at(self, path: str, tags: tuple[str, ...]) -> serials.Serial:
-        """The newest purge that strikes the path or one of the tags."""
+        """The newest purge that strikes the path or one of the tags, or may have struck it."""
         copy = self.board.ledger
         keys = [f"purge/path/{path}", *(f"purge/tag/{tag}" for tag in tags)]
-        return max(copy.serial(key) for key in keys)
+        # Purges as old as this may be forgotten, so what was fetched before them counts as struck by one:
+        # a node that comes back from long ago may still hold what they were meant for.
+        forgotten = serials.decode(copy.value(items.PURGED) or serials.NONE)
+        return max(forgotten, *(copy.serial(key) for key in keys))
 
     def is_evacuated(self, site: str) -> bool:
         return self.board.is_evacuated(site)
--- /dev/null
+++ b/tests/test_retention.py
@@ -0,0 +1,189 @@
+"""What the tables keep and forget: level over hours, and nothing forgotten that could still be needed."""
+
+import asyncio
+import json
+import random
+
+import pytest
+import scenes
+
+import irisstand.agency.orders as orders
+import irisstand.agency.retention as retention
+import irisstand.agency.tabletime as tabletime
+import irisstand.errors as errors
+import irisstand.ledger.items as items
+import irisstand.ledger.serials as serials
+import irisstand.ledger.tables as tables
+
+PURGE = tabletime.Rule("purge", 75.0, 0.0, 5000)
+
+
+class Table:
+    """One table decided step by step, as a taker would, with nobody else about."""
+
+    def __init__(self, name):
+        self.copy = tables.Copy(name)
+        self.seen = serials.NONE
+
+    def order(self, kind, payload, change=""):
+        overlay = orders.Overlay(self.copy, self.copy.tip.after("n"))
+        result = orders.plan(overlay, orders.Order(kind, change, payload))
+        if overlay.rows:
+            self.copy.apply(overlay.batch())
+        return result
+
+    def tick(self, elapsed, *rules):
+        expected = str(self.copy.serial(items.TIME))
+        self.order(f"tick-{self.copy.name}", (expected, elapsed, [list(rule) for rule in rules], 600.0))
+
+
+def test_hours_of_purges_changes_and_removed_rows_leave_a_level_ledger():
+    ledger = Table(items.LEDGER)
+    sizes, number = [], 0
+    for step in range(4 * 240):
+        for _ in range(8):
+            number += 1
+            ledger.order("purge", [("path", f"/vacancies/{number}")], f"purge-{number}")
+        ledger.order("evacuate", f"site-{step}")
+        ledger.order("return", f"site-{step}")
+        ledger.tick(15, PURGE, retention.CHANGES._replace(number=500))
+        sizes.append(len(ledger.copy.items))
+    # Four hours: as many rows after the fourth as after the first, and hardly more than must be kept.
+    assert max(sizes[-240:]) <= max(sizes[:240]) < 1100, (max(sizes[:240]), max(sizes[-240:]))
+    assert number == 7680
+    assert len(json.dumps(ledger.copy.value(items.TIME))) < 4000
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_no_object_that_a_forgotten_purge_struck_is_ever_called_good(seed):
+    """Against an oracle that forgets nothing, for objects fetched at any time before or since."""
+    randomness = random.Random(seed)
+    ledger = Table(items.LEDGER)
+    newest, fetched, refused = {}, [], 0
+    for _ in range(1500):
+        draw = randomness.random()
+        if draw < 0.3:
+            path = f"/p{randomness.randrange(40)}"
+            ledger.order("purge", [("path", path)])
+            newest[path] = ledger.copy.tip
+        elif draw < 0.5:
+            ledger.tick(randomness.uniform(1, 30), PURGE._replace(keep=randomness.choice((5, 75))))
+        else:
+            fetched.append((f"/p{randomness.randrange(40)}", ledger.copy.tip))
+        path, tip = randomness.choice(fetched or [("/p0", ledger.copy.tip)])
+        forgotten = serials.decode(ledger.copy.value(items.PURGED) or serials.NONE)
+        purged = max(forgotten, ledger.copy.serial(f"purge/path/{path}"))
+        if newest.get(path, serials.NONE) > tip:
+            refused += 1
+            assert tip < purged
+    assert refused > 100 and ledger.copy.value(items.PURGED)
+
+
+def test_a_node_cut_off_past_the_horizon_serves_nothing_that_a_forgotten_purge_struck():
+    async def scene(day):
+        path = "/vacancies/5"
+        value = {"grants": [{"service": "content", "methods": ["GET"]}], "life": 3600}
+        await day.stage.order("agency-1", "change", [{"kind": "path", "name": "/vacancies/", "value": value}])
+        await asyncio.sleep(1)
+        assert (await day.stage.ask("edge-1", "GET", path))[0] == 200
+        edge = scenes.board(day, "edge-1")
+        day.world.cut_off(["edge-1"])
+        day.stage.records.versions[path] += 1
+        await day.stage.order("agency-2", "purge", [("path", path)])
+        rule = [tabletime.Rule("purge", 1.0, 0.0, 0)]
+        for _ in range(3):
+            await asyncio.sleep(2)
+            expected = str(scenes.board(day, "agency-2").ledger.serial(items.TIME))
+            await day.stage.order("agency-2", "tick-ledger", (expected, 2.0, rule, 600.0))
+        assert scenes.board(day, "agency-2").ledger.value(f"purge/path/{path}") is None
+        day.world.wires.heal()
+        await day.world.until(lambda: edge.is_current(edge.ledger), 20)
+        # Never heard of by this edge, and forgotten by all: its cached copy must go all the same.
+        assert edge.ledger.value(f"purge/path/{path}") is None
+        status, _, result = await day.stage.ask("edge-1", "GET", path)
+        assert status == 200 and json.loads(result.body)["version"] == 1
+
+    scenes.play(scene)
+
+
+def test_a_core_node_that_was_down_while_tombstones_went_brings_no_row_back():
+    async def scene(day):
+        rows = [scenes.site_row("north", 3), scenes.site_row("south", 1)]
+        await day.stage.order("agency-1", "change", rows)
+        await asyncio.sleep(1)
+        node = day.world.nodes["agency-4"]
+        node.kill()
+        await day.stage.order("agency-1", "change", [{**scenes.site_row("north"), "value": None}])
+        for _ in range(3):
+            await asyncio.sleep(1)
+            expected = str(scenes.board(day, "agency-2").blueprint.serial(items.TIME))
+            await day.stage.order("agency-2", "tick-blueprint", (expected, 2.0, [], 1.0))
+        assert "site/north" not in scenes.board(day, "agency-2").blueprint.items
+        await node.start()
+        await day.world.until_ready()
+        await asyncio.sleep(2)
+        for name in ("agency-4", "agency-1", "edge-1"):
+            assert "site/north" not in scenes.board(day, name).blueprint.items
+        roots = {scenes.board(day, f"agency-{n}").blueprint.root() for n in range(1, 6)}
+        assert len(roots) == 1
+
+    scenes.play(scene)
+
+
+def test_time_is_never_raised_twice_for_the_same_stretch_and_never_by_a_long_sleep():
+    ledger = Table(items.LEDGER)
+    first = str(ledger.copy.serial(items.TIME))
+    ledger.tick(15, PURGE)
+    with pytest.raises(errors.StaleSerial):
+        ledger.order("tick-ledger", (first, 15.0, [], 600.0))
+    ledger.tick(4000, PURGE)
+    assert ledger.copy.value(items.TIME)["seconds"] == 15 + tabletime.STEP_LIMIT
+
+
+def test_keys_are_kept_for_their_time_and_a_full_store_rejects_new_ones_with_when_to_come_back(monkeypatch):
+    monkeypatch.setattr(orders, "CLAIMS_LIMIT", 100)
+    claims = Table(items.CLAIMS)
+    rule = tabletime.Rule("claim", 600.0, 600.0, 100)
+    claims.tick(15, rule)
+    for number in range(100):
+        claims.order("claim", (f"k{number}", "a", "print"))
+        if number % 10 == 9:
+            claims.tick(15, rule)
+    with pytest.raises(errors.TableFull) as caught:
+        claims.order("claim", ("another", "a", "print"))
+    # The oldest was claimed 150 seconds ago.
+    assert 430 <= caught.value.retry_after <= 470
+    # Known keys are still answered for, by whoever asks again.
+    with pytest.raises(errors.Claimed):
+        claims.order("claim", ("k0", "b", "print"))
+    for _ in range(29):
+        claims.tick(15, rule)
+    assert claims.copy.counts["claim"] == 100
+    for _ in range(8):
+        claims.tick(15, rule)
+    claims.order("claim", ("another", "a", "print"))
+    assert "claim/k0" not in claims.copy.items and "claim/k99" in claims.copy.items
+
+
+def test_a_key_outlives_total_loss_and_changes_of_holder():
+    async def scene(day):
+        body = json.dumps({"number": "once"}).encode()
+        ask = ("POST", "/applications", body)
+        assert (await day.stage.ask("edge-1", *ask, idempotency_key="once"))[0] == 200
+        await asyncio.sleep(40)
+        before = scenes.board(day, "agency-1").copies[items.CLAIMS].value(items.TIME)["seconds"]
+        assert 15 <= before <= 50
+        for node in day.world.nodes.values():
+            node.kill(reset=False)
+        await asyncio.sleep(5000)
+        for node in day.world.nodes.values():
+            await node.start()
+        await day.world.until_ready()
+        await asyncio.sleep(40)
+        after = scenes.board(day, "agency-1").copies[items.CLAIMS].value(items.TIME)["seconds"]
+        # Hours in the dark are not counted: nobody could have asked again meanwhile.
+        assert before < after < before + 45
+        status, _, result = await day.stage.ask("edge-2", *ask, idempotency_key="once")
+        assert status == 200 and day.stage.records.executions["once"] == 1
+
+    scenes.play(scene)
