An object is judged when it is given out, credentials or not, within one deadline

Cause: reads with credentials were never judged by purges; an answer under way was given out however far past its life; purges that kept striking began a whole deadline anew up to three times; who joined a shared fetch failed with whoever had begun it.

Ruled out: judging at the shield only (the answer is under way behind it, too); a shorter deadline for fetches.

Change: a decision, `Giving`, is asked when a fetch has ended: give out, fetch again under the newest purge, or reject, under one deadline. The judge takes the moment of giving out, every purge of a path, and the age since the origin sealed the answer. New trouble: all origins of a service slow, 0.5 to 2.8 s. One read in five has credentials.

--- a/src/irisstand/noticeboard/decisions.py
+++ b/src/irisstand/noticeboard/decisions.py
@@ -24,13 +24,53 @@
     return thing.age_now(now) < thing.life and thing.tip >= purged
 
 
+# How far past its life an answer may be that was fetched for this very request; the bound is about 2 s.
+OUTLIVED = 1.0
+
+
+def is_fit(thing: objects.Object, path: str, view: views.Views, now: float) -> bool:
+    """Whether a fetched answer may be given out now: purges and life go on while it is under way."""
+    outlived = thing.life > 0 and thing.age_now(now) > thing.life + OUTLIVED
+    return thing.tip >= view.purged_at(path, thing.tags) and not outlived
+
+
+class Giving:
+    """Whether a read's answer is given out, fetched again, or rejected; one deadline over all fetches."""
+
+    def __init__(
+        self, clock: clocks.Clock, view: views.Views, granted: views.Granted, path: str
+    ) -> None:
+        self.clock, self.view, self.path = clock, view, path
+        self.deadline = clock.now() + granted.deadline
+
+    def ask(self, happened: tuple) -> Action:
+        """happened: object, thing | failed, error."""
+        now = self.clock.now()
+        if happened[0] == "object" and is_fit(happened[1], self.path, self.view, now):
+            return ("answer", happened[1])
+        error = errors.DeadlinePassed("no answer was still good by the time that it came", retry_after=1)
+        if happened[0] == "failed":
+            error = happened[1]
+            # A shared fetch ends with the time of whoever began it; who joined it later has more.
+            if error.code not in ("deadline-passed", "unanswered"):
+                return ("reject", error)
+        if now > self.deadline - 0.05:
+            return ("reject", error)
+        floor = serials.NONE
+        if happened[0] == "object":
+            floor = self.view.purged_at(self.path, happened[1].tags)
+        return ("fetch", floor)
+
+
 class Asking:
     """What reads and writes at an edge have in common: shields in order, and a deadline."""
 
-    def __init__(self, clock: clocks.Clock, granted: views.Granted, shields: list) -> None:
+    def __init__(
+        self, clock: clocks.Clock, granted: views.Granted, shields: list, deadline: float | None = None
+    ) -> None:
         self.clock, self.granted = clock, granted
         self.shields = shields
-        self.deadline = clock.now() + granted.deadline
+        self.deadline = clock.now() + granted.deadline if deadline is None else deadline
 
     def remaining(self) -> float:
         return self.deadline - self.clock.now()
@@ -52,9 +92,10 @@
 
 class EdgeRead(Asking):
     def __init__(
-        self, clock: clocks.Clock, granted: views.Granted, shields: list, budget: budgets.Budget
-    ) -> None:
-        super().__init__(clock, granted, shields)
+        self, clock: clocks.Clock, granted: views.Granted, shields: list, budget: budgets.Budget,
+        deadline: float,
+    ) -> None:  # fmt: skip
+        super().__init__(clock, granted, shields, deadline)
         self.budget = budget
 
     def ask(self, happened: tuple) -> Action:
--- a/src/irisstand/noticeboard/edge.py
+++ b/src/irisstand/noticeboard/edge.py
@@ -66,39 +66,41 @@
     # -- reads ---------------------------------------------------------------------------------------
     async def read(self, granted: views.Granted, request: Request) -> Result:
         shared = not any(name in request.headers for name in CREDENTIALS)
-        if not shared:
-            kept = {name: value for name, value in request.headers.items() if name not in DROPPED}
-            _, thing = await self.fetch(granted, request, kept, serials.NONE, False)
-            return self.result(request, thing)
-        # Only headers that the blueprint names may change the answer, so only they are sent on.
-        varied = {
-            name.lower(): request.headers[name.lower()]
-            for name in granted.vary
-            if name.lower() in request.headers
-        }
-        key = self.key(granted.service, request, varied)
+        giving = decisions.Giving(self.board.clock, self.view, granted, request.path)
         floor = self.view.purged_at(request.path, ())
-        found = self.cache.get(key)
-        if found is not None:
-            if decisions.is_usable(found, request.path, self.view, floor, self.board.clock.now()):
-                self.board.counters.add("cache", at="edge", result="hit")
-                return self.result(request, found)
-            floor = max(floor, self.view.purged_at(request.path, found.tags))
-            self.cache.drop(key)
-        self.board.counters.add("cache", at="edge", result="miss")
-        for _ in range(3):
-            fetch = functools.partial(self.fetch, granted, request, varied, floor, True)
-            service, thing = await self.collapse.share((key, floor), fetch)
-            # A purge that struck while the fetch was under way asks for one begun after it.
-            purged = self.view.purged_at(request.path, thing.tags)
-            if thing.tip >= purged:
+        # Only headers that the blueprint names may change a shared answer, so only they are sent on.
+        sent = {
+            name: value
+            for name, value in request.headers.items()
+            if name not in DROPPED and (not shared or name in granted.vary_lower)
+        }
+        key = self.key(granted.service, request, sent)
+        if shared:
+            found = self.cache.get(key)
+            if found is not None:
+                if decisions.is_usable(found, request.path, self.view, floor, self.board.clock.now()):
+                    self.board.counters.add("cache", at="edge", result="hit")
+                    return self.result(request, found)
+                floor = max(floor, self.view.purged_at(request.path, found.tags))
+                self.cache.drop(key)
+            self.board.counters.add("cache", at="edge", result="miss")
+        while True:
+            fetch = functools.partial(self.fetch, granted, request, sent, floor, shared, giving.deadline)
+            try:
+                # An answer that may be meant for one alone is fetched for one alone.
+                service, thing = await (self.collapse.share((key, floor), fetch) if shared else fetch())
+                action = giving.ask(("object", thing))
+            except errors.IrisError as error:
+                action = giving.ask(("failed", error))
+            if action[0] == "reject":
+                raise action[1]
+            if action[0] == "answer":
                 break
-            floor = purged
-        else:
-            raise errors.DeadlinePassed("purges kept striking while the object was fetched")
-        if thing.life > 0:
+            self.board.counters.add("fetched_again")
+            floor = max(floor, action[1])
+        if shared and thing.life > 0:
             # Under the service that answered: the shield may have heard of a change before this node.
-            self.cache.put(self.key(service, request, varied), thing)
+            self.cache.put(self.key(service, request, sent), thing)
         return self.result(request, thing)
 
     def key(self, service: str, request: Request, varied: dict[str, str]) -> str:
@@ -112,11 +114,11 @@
 
     async def fetch(
         self, granted: views.Granted, request: Request, headers: dict[str, str], floor: serials.Serial,
-        shared: bool,
+        shared: bool, deadline: float,
     ) -> tuple[str, objects.Object]:  # fmt: skip
         self.budget.note_first()
         shields = self.spread(granted.service, f"{request.path}?{request.query}")
-        decision = decisions.EdgeRead(self.board.clock, granted, shields, self.budget)
+        decision = decisions.EdgeRead(self.board.clock, granted, shields, self.budget, deadline)
         # One id for all tries, so that an origin's record shows second tries for what they are.
         request_id = self.request_id()
         happened: tuple = ("started",)
--- a/src/irisstand/rehearsal/acting.py
+++ b/src/irisstand/rehearsal/acting.py
@@ -37,7 +37,8 @@
             return 200, {"content-length": str(len(content))}, content
         self.started.append((asyncio.get_running_loop().time(), headers.get("X-Request-Id", "")))
         if method == "GET":
-            content, tag = self.records.sealed_object(self.service, target)
+            now = asyncio.get_running_loop().time()
+            content, tag = self.records.sealed_object(self.service, target, now)
         else:
             content, tag = self.records.execute(self.service, self.instance, body), ""
         kept = {
@@ -182,10 +183,13 @@
             return 0, "no-answer", None
 
     async def read(self, edge: str, service: str, path: str) -> int:
-        asked_at = asyncio.get_running_loop().time()
-        status, code, result = await self.ask(edge, "GET", path)
+        # Some bear credentials, which takes another way through the edge.
+        given = {"authorization": "Bearer me"} if self.number % 5 == 0 else {}
+        self.number += 1
+        status, code, result = await self.ask(edge, "GET", path, **given)
         if result is not None:
-            self.judge.read(service, path, status, dict(result.headers), result.body, asked_at)
+            now = asyncio.get_running_loop().time()
+            self.judge.read(service, path, status, dict(result.headers), result.body, now)
         else:
             self.judge.results[f"read {status} {code}"] += 1
         return status
--- a/src/irisstand/rehearsal/day.py
+++ b/src/irisstand/rehearsal/day.py
@@ -45,6 +45,7 @@
         self.world = worlds.World(seed, shape)
         self.stage: acting.Stage = self.world.stage
         self.judge = self.stage.judge
+        self.judge.lives = {"vacancies": 5.0}
         self.watching = watching.Watching(self.world)
         self.trouble = trouble.Trouble(self.world, self.randomness)
         self.tasks: set[asyncio.Task] = set()
--- a/src/irisstand/rehearsal/judge.py
+++ b/src/irisstand/rehearsal/judge.py
@@ -18,7 +18,9 @@
         self.examples: dict[str, str] = {}
         self.results: collections.Counter[str] = collections.Counter()
         self.told: dict[str, str] = {}
-        self.floors: dict[str, tuple[float, int]] = {}
+        self.floors: dict[str, list[tuple[float, int]]] = collections.defaultdict(list)
+        # Cache lives by the first part of a path, as the blueprint has them all day.
+        self.lives: dict[str, float] = {}
 
     def check(self, rule: str, kept: bool, example: str = "") -> None:
         self.checked[rule] += 1
@@ -27,8 +29,9 @@
             self.examples.setdefault(rule, example)
 
     def read(
-        self, service: str, target: str, status: int, headers: dict, body: bytes, asked_at: float
+        self, service: str, target: str, status: int, headers: dict, body: bytes, now: float
     ) -> None:
+        """One answer at the moment that it was given out."""
         self.results[f"read {status}"] += 1
         if status != 200:
             return
@@ -36,16 +39,22 @@
             content = json.loads(body)
             meant = (content["service"], content["target"]) == (service, target)
         except (ValueError, KeyError, TypeError):
-            content, meant = {"version": -1}, False
+            content, meant = {"version": -1, "made": now}, False
         sealed = headers.get("content-digest") == objects.digest_header(body)
         rule = "a success is the origin's whole, sealed answer, meant for the asker"
         self.check(rule, meant and sealed, f"{target}: {body[:80]!r}")
         # Purged and confirmed at a time with a version: two seconds later nothing older may be served.
         path = target.partition("?")[0]
-        if path in self.floors and asked_at > self.floors[path][0] + 2.0:
-            older = content["version"] < self.floors[path][1]
+        due = [version for confirmed_at, version in self.floors[path] if now > confirmed_at + 2.0]
+        if due:
             rule = "purged content is not served 2 s after the purge is confirmed"
-            self.check(rule, not older, f"{target}: {content['version']} < {self.floors[path][1]}")
+            kept = content["version"] >= max(due)
+            self.check(rule, kept, f"{target}: {content['version']} < {max(due)} at {now:.3f}")
+        life = self.lives.get(path.split("/")[1])
+        if life is not None:
+            rule = "no content outlives its cache life by more than 2 s"
+            age = now - content["made"]
+            self.check(rule, age <= life + 2.0, f"{target}: {age:.3f} s old, life {life}, at {now:.3f}")
 
     def write(self, number: str, status: int, code: str) -> None:
         self.results[f"write {status}"] += 1
@@ -59,7 +68,8 @@
             self.told[number] = "rejected"
 
     def purged(self, path: str, confirmed_at: float, version: int) -> None:
-        self.floors[path] = (confirmed_at, version)
+        # Far older floors are covered by the newer ones.
+        self.floors[path] = [*self.floors[path][-20:], (confirmed_at, version)]
 
     def close(self) -> None:
         """At the end of the day: every write against the origins' own record."""
--- a/src/irisstand/rehearsal/load.py
+++ b/src/irisstand/rehearsal/load.py
@@ -73,12 +73,13 @@
             await self.write(edge)
 
     async def read(self, edge: str, service: str, target: str) -> None:
-        asked_at = asyncio.get_running_loop().time()
         try:
             async with self.session.get(self.fleet.url(edge) + target) as response:
+                # Given out when its head came; this busy process may read the rest later.
+                now = asyncio.get_running_loop().time()
                 body = await response.read()
                 headers = {name.lower(): value for name, value in response.headers.items()}
-                self.judge.read(service, target, response.status, headers, body, asked_at)
+                self.judge.read(service, target, response.status, headers, body, now)
                 if response.status != 200:
                     self.count_failure("read", self.code(body))
         except (aiohttp.ClientError, TimeoutError) as error:
--- a/src/irisstand/rehearsal/origin.py
+++ b/src/irisstand/rehearsal/origin.py
@@ -55,7 +55,8 @@
         content = await request.read()
         await asyncio.sleep(self.faults.get("delay", 0.002))
         if request.method == "GET":
-            body, tag = self.records.sealed_object(self.service, request.path_qs)
+            now = asyncio.get_running_loop().time()
+            body, tag = self.records.sealed_object(self.service, request.path_qs, now)
         else:
             body, tag = self.records.execute(self.service, self.instance, content), ""
         headers = {
@@ -82,10 +83,13 @@
         self.executions: collections.Counter[str] = collections.Counter()
         self.requests: collections.Counter[str] = collections.Counter()
 
-    def sealed_object(self, service: str, target: str) -> tuple[bytes, str]:
+    def sealed_object(self, service: str, target: str, now: float) -> tuple[bytes, str]:
         path = target.partition("?")[0]
         tag = path.strip("/").partition("/")[0]
-        content = {"service": service, "target": target, "version": self.versions[path], "fill": "x" * 500}
+        content = {
+            "service": service, "target": target, "version": self.versions[path], "made": now,
+            "fill": "x" * 500,
+        }  # fmt: skip
         return json.dumps(content).encode(), f"{tag},{service}"
 
     def execute(self, service: str, instance: str, content: bytes) -> bytes:
--- a/src/irisstand/rehearsal/rehearse.py
+++ b/src/irisstand/rehearsal/rehearse.py
@@ -25,6 +25,7 @@
         self.origins = self.make_origins()
         self.platform = origins.StandInPlatform(self.origins)
         self.judge = judges.Judge(self.records)
+        self.judge.lives = {"vacancies": 10.0, "logos": 60.0}
 
     def make_origins(self) -> list[origins.StandInOrigin]:
         made = []
--- a/src/irisstand/rehearsal/trouble.py
+++ b/src/irisstand/rehearsal/trouble.py
@@ -18,6 +18,7 @@
             "kill": self.kill, "power": self.power, "wipe": self.wipe, "freeze": self.freeze,
             "isolate": self.isolate, "split": self.split, "stall": self.stall, "fill": self.fill,
             "corrupt": self.corrupt, "origin-down": self.origin_down, "origin-fault": self.origin_fault,
+            "origin-slow": self.origin_slow,
             "drain": self.drain, "loss": self.loss, "platform-down": self.platform_down,
         }  # fmt: skip
 
@@ -173,6 +174,17 @@
         await self.pause(0.3, 4)
         origin.faults.discard(fault)
 
+    async def origin_slow(self) -> None:
+        """All origins of a service: while their answers are under way, purges strike and lives end."""
+        service = self.randomness.choice(("content", "application"))
+        slow = [origin for origin in self.world.stage.origins if origin.service == service]
+        self.note("origin-slow", service)
+        for origin in slow:
+            origin.delay = self.randomness.uniform(0.5, 2.8)
+        await self.pause(1, 5)
+        for origin in slow:
+            origin.delay = 0.003
+
     async def drain(self) -> None:
         node = self.pick()
         if node is not None:
--- /dev/null
+++ b/tests/test_giving_out.py
@@ -0,0 +1,73 @@
+"""What is given out is judged at the moment it is given out, on every way through edge and shield."""
+
+import asyncio
+import json
+
+import pytest
+import scenes
+
+
+async def slow_origins(day, delay):
+    for origin in day.stage.origins:
+        origin.delay = delay
+
+
+@pytest.mark.parametrize("headers", [{}, {"authorization": "Bearer me"}])
+@pytest.mark.parametrize("purge", [("path", "/vacancies/7"), ("tag", "vacancies")])
+def test_an_answer_under_way_when_its_purge_is_confirmed_is_not_given_out_later(headers, purge):
+    async def scene(day):
+        path = "/vacancies/7"
+        await slow_origins(day, 2.4)
+        fetching = asyncio.create_task(day.stage.ask("edge-1", "GET", path, **headers))
+        await asyncio.sleep(0.1)
+        day.stage.records.versions[path] += 1
+        await day.stage.order("agency-2", "purge", [purge])
+        await slow_origins(day, 0.003)
+        status, _, result = await fetching
+        assert status == 200 and json.loads(result.body)["version"] == 1
+
+    scenes.play(scene)
+
+
+@pytest.mark.parametrize("headers", [{}, {"authorization": "Bearer me"}])
+def test_purges_that_keep_striking_end_in_a_rejection_within_the_deadline(headers):
+    async def scene(day):
+        path = "/vacancies/7"
+        await slow_origins(day, 0.7)
+        asking = asyncio.create_task(day.stage.ask("edge-1", "GET", path, **headers))
+        began = asyncio.get_running_loop().time()
+        while not asking.done():
+            await day.stage.order("agency-2", "purge", [("path", path)])
+            await asyncio.sleep(0.1)
+        assert asking.result()[0] == 504
+        assert asyncio.get_running_loop().time() - began < 3.3
+
+    scenes.play(scene)
+
+
+def test_an_answer_that_has_outlived_its_life_on_the_way_is_not_given_out():
+    async def scene(day):
+        value = {"grants": [{"service": "content", "methods": ["GET"]}], "life": 0.5}
+        await day.stage.order("agency-1", "change", [{"kind": "path", "name": "/vacancies/", "value": value}])
+        await asyncio.sleep(1)
+        # Sealed when asked for, and then long on its way.
+        await slow_origins(day, 2.8)
+        assert (await day.stage.ask("edge-1", "GET", "/vacancies/1"))[0] == 504
+        await slow_origins(day, 0.003)
+        assert (await day.stage.ask("edge-1", "GET", "/vacancies/1"))[0] == 200
+
+    scenes.play(scene)
+
+
+def test_whoever_joins_a_fetch_that_runs_out_of_time_still_has_all_of_its_own():
+    async def scene(day):
+        await slow_origins(day, 60)
+        first = asyncio.create_task(day.stage.ask("edge-1", "GET", "/vacancies/1"))
+        await asyncio.sleep(2.5)
+        second = asyncio.create_task(day.stage.ask("edge-1", "GET", "/vacancies/1"))
+        await asyncio.sleep(0.4)
+        await slow_origins(day, 0.003)
+        assert (await first)[0] == 504
+        assert (await second)[0] == 200
+
+    scenes.play(scene)
