--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,90 @@
+"""The platform lags, shrinks, falls silent, speaks in the wrong order: what counts, and what is told."""
+
+import asyncio
+import json
+
+import scenes
+
+import irisstand.agency.watch as watch
+
+
+def state(day, name="edge-1"):
+    return scenes.board(day, name).ledger.value("platform")
+
+
+def listed(day):
+    return {item.key for item in scenes.board(day, "edge-1").ledger.under("origin/")}
+
+
+def says(day, revision=None, age=0.0, without=()):
+    origins = [origin.listing() for origin in day.stage.origins if origin.instance not in without]
+    content = {"origins": origins, **({} if revision is None else {"revision": revision})}
+
+    async def ask():
+        return watch.Heard(json.dumps(content).encode(), age)
+
+    day.stage.ask_platform = ask
+
+
+def test_an_old_answer_after_a_new_one_changes_nothing():
+    async def scene(day):
+        gone = day.stage.origins[0]
+        says(day, 7, without=(gone.instance,))
+        await asyncio.sleep(4)
+        assert f"origin/{gone.instance}" not in listed(day)
+        says(day, 6)
+        await asyncio.sleep(4)
+        assert f"origin/{gone.instance}" not in listed(day) and state(day)["state"] == "lagging"
+        # Nor for the next holder, which has heard nothing of the newer one itself.
+        for node in day.world.role("agency"):
+            if any(duty.name == "platform-watch" and duty.holds() for duty in node.body.duties):
+                node.kill()
+        await asyncio.sleep(6)
+        assert f"origin/{gone.instance}" not in listed(day)
+        says(day, 8)
+        await asyncio.sleep(4)
+        assert f"origin/{gone.instance}" in listed(day) and state(day)["state"] == "well"
+
+    scenes.play(scene)
+
+
+def test_lagging_is_told_from_silent():
+    async def scene(day):
+        says(day, age=30.0)
+        await asyncio.sleep(3)
+        assert state(day)["state"] == "lagging" and "30 s old" in state(day)["why"]
+
+        async def dead():
+            raise ConnectionRefusedError("nobody there")
+
+        day.stage.ask_platform = dead
+        before = listed(day)
+        await asyncio.sleep(8)
+        assert state(day)["state"] == "silent" and listed(day) == before
+        says(day)
+        await asyncio.sleep(3)
+        assert state(day)["state"] == "well"
+
+    scenes.play(scene)
+
+
+def test_a_service_that_shrinks_at_once_waits_and_the_others_do_not():
+    async def scene(day):
+        for number in range(2):
+            day.stage.add_origin("content", f"content-x{number}", "east", "two")
+        await asyncio.sleep(3)
+        content = [o.instance for o in day.stage.origins if o.service == "content"]
+        other = next(o for o in day.stage.origins if o.service == "application")
+        assert len(content) == 4
+        other.state = "leaving"
+        says(day, without=content[:3])
+        await asyncio.sleep(3)
+        assert state(day)["state"] == "shrunk" and "content" in state(day)["why"]
+        assert {f"origin/{name}" for name in content} <= listed(day)
+        # What it says of the rest is in force meanwhile.
+        ledger = scenes.board(day, "edge-1").ledger
+        assert ledger.value(f"origin/{other.instance}")["state"] == "leaving"
+        await asyncio.sleep(6)
+        assert not {f"origin/{name}" for name in content[:3]} & listed(day)
+
+    scenes.play(scene)
