Every final answer says when to come back; none waits for what cannot come

Cause: 504 answers bore no Retry-After and 503 ones mostly the same second; an order at a node that had lost the voters was tried for 4 s and up to four forwards of 1.5 s; a read at a shield without power, which closes no connection, was held until its deadline though SWIM suspected the shield after about a second.

Ruled out: shorter patience for all (a slow shield is not a dead one); a second try without the budget.

Change: each kind of error has its own time to come back (502, 503 and 504 always bear one); without a current table an order is rejected at once; a suspicion lets a read turn to the next shield, if the budget has room.

--- a/src/irisstand/agency/submitting.py
+++ b/src/irisstand/agency/submitting.py
@@ -53,6 +53,9 @@
         another, so orders gather where the last batch was decided.
         """
         table = orders.table_of(order.kind)
+        # Without the voters for longer than the bound, this node will not find them within any patience.
+        if not self.board.is_current(self.board.copies[table]):
+            raise errors.NoMajority("this node has lost the majority of the voters")
         own = self.core.votes(table)
         for voter in self.in_order(table):
             if voter.vault == self.core.vault.identity:
--- a/src/irisstand/noticeboard/claims.py
+++ b/src/irisstand/noticeboard/claims.py
@@ -59,7 +59,7 @@
         if claim["print"] != fingerprint:
             raise errors.KeyReused("this Idempotency-Key was used for another request")
         if claim["state"] != "done":
-            raise errors.OutcomeUnknown("a request with this key is under way or was lost", retry_after=1)
+            raise errors.OutcomeUnknown("a request with this key is under way or was lost")
         status, headers, body = claim["result"]
         if body is None:
             raise errors.OutcomeUnknown("the request with this key has run; its answer was too large to keep")
@@ -75,7 +75,7 @@
                 # Asked again as the same attempt, which brings the one true result.
                 continue
         self.board.start(self.settle(key, attempt, None), "release a claim")
-        raise errors.NoClaim("the core did not confirm the claim in time", retry_after=1)
+        raise errors.NoClaim("the core did not confirm the claim in time")
 
     async def settle(self, key: str, attempt: str, result: list | None, tries: int = 5) -> None:
         for number in range(tries):
@@ -101,5 +101,5 @@
             except errors.Unanswered as error:
                 raise errors.ChangeUnknown(str(error)) from None
             except errors.NoMajority as error:
-                raise errors.NoClaim(str(error), retry_after=1) from None
-        raise errors.NoClaim("no agency can be reached", retry_after=1)
+                raise errors.NoClaim(str(error)) from None
+        raise errors.NoClaim("no agency can be reached")
--- a/src/irisstand/noticeboard/decisions.py
+++ b/src/irisstand/noticeboard/decisions.py
@@ -48,7 +48,7 @@
         now = self.clock.now()
         if happened[0] == "object" and is_fit(happened[1], self.path, self.view, now):
             return ("answer", happened[1])
-        error = errors.DeadlinePassed("no answer was still good by the time that it came", retry_after=1)
+        error = errors.DeadlinePassed("no answer was still good by the time that it came")
         if happened[0] == "failed":
             error = happened[1]
             # A shared fetch ends with the time of whoever began it; who joined it later has more.
@@ -86,7 +86,7 @@
         if self.remaining() <= 0.005:
             return ("reject", errors.DeadlinePassed("the deadline passed before a shield could be asked"))
         if not self.shields:
-            return ("reject", errors.NoShield("no shield can be asked", retry_after=1))
+            return ("reject", errors.NoShield("no shield can be asked"))
         return ("ask", self.shields.pop(0), self.remaining())
 
 
@@ -113,6 +113,10 @@
             return self.ask_next()
         return ("reject", error)
 
+    def may_turn_away(self) -> bool:
+        """From a shield that is suspected: a second try, if there is whom to ask, and room in the budget."""
+        return bool(self.shields) and self.remaining() > 0.05 and self.budget.take()
+
 
 class EdgeWrite(Asking):
     def ask(self, happened: tuple) -> Action:
--- /dev/null
+++ b/src/irisstand/noticeboard/doubts.py
@@ -0,0 +1,31 @@
+"""Doubts about colleagues that are being asked: told as soon as SWIM suspects them."""
+
+import asyncio
+
+from irisstand.rollcall import detector as detecting
+from irisstand.rollcall import updates
+
+
+class Doubts:
+    def __init__(self, detector: detecting.Detector) -> None:
+        self.waiting: dict[updates.Identity, dict[asyncio.Future, None]] = {}
+        detector.listeners.append(self.hear)
+
+    def watch(self, identity: updates.Identity) -> asyncio.Future:
+        """Done when the member is suspected or failed; whoever stops watching cancels it."""
+        future = asyncio.get_running_loop().create_future()
+        self.waiting.setdefault(identity, {})[future] = None
+        future.add_done_callback(lambda done: self.drop(identity, done))
+        return future
+
+    def drop(self, identity: updates.Identity, future: asyncio.Future) -> None:
+        watchers = self.waiting.get(identity, {})
+        watchers.pop(future, None)
+        if not watchers:
+            self.waiting.pop(identity, None)
+
+    def hear(self, update: updates.Update) -> None:
+        if update.state is not updates.State.ALIVE:
+            for future in list(self.waiting.get(update.identity, {})):
+                if not future.done():
+                    future.set_result(None)
--- a/src/irisstand/noticeboard/edge.py
+++ b/src/irisstand/noticeboard/edge.py
@@ -1,11 +1,12 @@
 """The edge: what consumers talk to. Reads go through its cache, writes straight to a shield."""
 
+import asyncio
 import functools
 import typing
 
 from irisstand import blackboard, errors
 from irisstand.ledger import serials
-from irisstand.noticeboard import cache, decisions, objects, views
+from irisstand.noticeboard import cache, decisions, doubts, objects, views
 from irisstand.shortlist import budget as budgets
 from irisstand.shortlist import heat
 
@@ -41,13 +42,14 @@
         self.collapse = cache.Collapse()
         self.heat = heat.Heat(board.clock)
         self.budget = budgets.Budget(board.clock, 0.07, 1)
+        self.doubts = doubts.Doubts(board.detector)
 
     async def handle(self, request: Request) -> Result:
         """The result for the consumer, or a typed error to be shown as JSON."""
         # A draining edge takes no new connection, but what comes on a kept one is answered as ever.
         self.view.check_current()
         if self.view.is_evacuated(self.board.boot.site):
-            raise errors.SiteEvacuated(f"site {self.board.boot.site} takes no new work", retry_after=5)
+            raise errors.SiteEvacuated(f"site {self.board.boot.site} takes no new work")
         self.board.gauge.note()
         granted = self.view.grant(request.method, request.path, request.query)
         self.board.counters.add("requests", method=request.method)
@@ -131,11 +133,26 @@
                 remaining, shared, tuple(self.board.blueprint.tip),
             )  # fmt: skip
             asked_at = self.board.clock.now()
-            happened = await self.ask(shield, "read", body, remaining)
+            happened = await self.ask_watched(decision, shield, body, remaining)
             if happened[0] == "result":
                 service, parts = happened[1]
                 happened = ("object", (service, objects.decode(parts, asked_at)))
 
+    async def ask_watched(
+        self, decision: decisions.EdgeRead, shield: typing.Any, body: tuple, remaining: float
+    ) -> tuple:
+        """A shield that lost its power closes no connection: its reads go on once it is suspected."""
+        doubt = self.doubts.watch(shield.identity)
+        asking = asyncio.get_running_loop().create_task(self.ask(shield, "read", body, remaining))
+        try:
+            await asyncio.wait([asking, doubt], return_when=asyncio.FIRST_COMPLETED)
+            if not asking.done() and decision.may_turn_away():
+                return ("failed", errors.Unreached("the shield is suspected to have failed"))
+            return await asking
+        finally:
+            doubt.cancel()
+            asking.cancel()
+
     def spread(self, service: str, key: str) -> list:
         """The shields in order; for a hot object the first two take turns, if both can."""
         shields = self.view.shields(service, key)
--- a/src/irisstand/noticeboard/origins.py
+++ b/src/irisstand/noticeboard/origins.py
@@ -66,7 +66,7 @@
                 self.busy += 1
                 return line
         if self.busy >= LINES_LIMIT:
-            raise errors.OverCeiling("every line to the origin is busy", retry_after=1)
+            raise errors.OverCeiling("every line to the origin is busy")
         self.busy += 1
         try:
             return await self.connect(patience)
@@ -167,12 +167,12 @@
             and not self.view.is_evacuated(pool.origin.site)
         ]
         if not usable:
-            raise errors.NoOrigin(f"no origin of {granted.service} is usable just now", retry_after=1)
+            raise errors.NoOrigin(f"no origin of {granted.service} is usable just now")
         even, part = granted.ceiling[0] / len(listed), self.part(granted)
         open_ones = [pool for pool in usable if pool.has_room(even, part)]
         # All that are left are warming up: more than they may get is refused, not poured over them.
         if not open_ones:
-            raise errors.OverCeiling(f"the origins of {granted.service} are warming up", retry_after=1)
+            raise errors.OverCeiling(f"the origins of {granted.service} are warming up")
         weights = [pool.warmth() for pool in open_ones]
         first, second = self.board.randomness.choices(open_ones, weights, k=2)
         drawn = min(first, second, key=lambda pool: (pool.busy + 1) / pool.warmth())
--- a/src/irisstand/noticeboard/shield.py
+++ b/src/irisstand/noticeboard/shield.py
@@ -49,7 +49,7 @@
         self.board.gauge.note()
         while self.board.blueprint.tip < tip:
             if self.board.clock.now() - started > min(CATCH_UP_LIMIT, remaining / 2):
-                raise errors.StaleBlueprint("this shield is behind the edge", retry_after=1)
+                raise errors.StaleBlueprint("this shield is behind the edge")
             await asyncio.sleep(0.01)
         self.view.check_current()
         return remaining - (self.board.clock.now() - started)
@@ -226,7 +226,7 @@
     def recheck(self, granted: views.Granted, method: str, target: str) -> None:
         path, _, query = target.partition("?")
         if self.view.grant(method, path, query).service != granted.service:
-            raise errors.StaleBlueprint("the blueprint changed while the request waited", retry_after=1)
+            raise errors.StaleBlueprint("the blueprint changed while the request waited")
 
     async def enter(
         self, granted: views.Granted, decision: decisions.ShieldWork
@@ -238,9 +238,9 @@
         share = self.shares[granted.service]
         wait_until = self.board.clock.now() + min(QUEUE_LIMIT, decision.remaining() / 3)
         if not rate or not inflight or share.is_opening(granted.deadline):
-            raise errors.NoShare(f"no share of {granted.service} is held here", retry_after=1)
+            raise errors.NoShare(f"no share of {granted.service} is held here")
         while not share.enter(rate, inflight):
             if self.board.clock.now() >= wait_until:
-                raise errors.OverCeiling(f"{granted.service} is at its ceiling", retry_after=1)
+                raise errors.OverCeiling(f"{granted.service} is at its ceiling")
             await asyncio.sleep(0.01)
         return share, self.board.clock.now()
--- a/src/irisstand/web.py
+++ b/src/irisstand/web.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import typing
 
 import sanic
@@ -25,8 +26,9 @@
 
 def as_fault(error: errors.IrisError) -> sanic.response.HTTPResponse:
     headers = {"Cache-Control": "no-store"}
-    if error.retry_after or error.status == 503:
-        headers["Retry-After"] = str(max(1, round(error.retry_after)))
+    # Told at once when to come back, instead of being kept waiting until it could.
+    if error.retry_after:
+        headers["Retry-After"] = str(max(1, math.ceil(error.retry_after)))
     return as_json(error.as_object(), error.status, headers)
 
 
@@ -96,7 +98,9 @@
             if status == 413 and "header" in str(error).lower():
                 status = 431
             remedy = "send what the operators' page describes, within its limits"
-            return as_json({"code": f"http-{status}", "message": str(error), "remedy": remedy}, status)
+            headers = {"Retry-After": "1"} if status in (502, 503, 504) else None
+            content = {"code": f"http-{status}", "message": str(error), "remedy": remedy}
+            return as_json(content, status, headers)
         ring.note("crash", error=repr(error))
         self.ring.write_out(f"error in a request: {error!r}")
         return as_fault(errors.IrisError("an error of this node's own"))
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -137,6 +137,8 @@
         await day.world.until(lambda: any(d.holds() for n, d in duties.items() if n != holder), 20)
         node.thaw()
         assert not duties[holder].holds()
+        # Until its tables are current again it would be rejected for want of a majority.
+        await day.world.until_ready()
         row = ("slots/00", {"owners": ["nonsense"] * 16})
         with pytest.raises(errors.StaleSerial):
             await day.stage.order(holder, "fenced", ("placement", term, [row]))
