--- a/src/irisstand/errors.py
+++ b/src/irisstand/errors.py
@@ -2,20 +2,16 @@
 
 
 class IrisError(Exception):
-    """Root of all kinds. `code` is stable and meant for programs, `remedy` for people.
-
-    `comes_back` is after how many seconds it is worth asking again, where the raiser knows no better.
-    """
+    """Root of all kinds. `code` is stable and meant for programs, `remedy` for people."""
 
     code = "irisstand"
     status = 500
-    comes_back = 0.0
     remedy = "look at the log ring of the node that answered"
 
     def __init__(self, message: str = "", remedy: str = "", retry_after: float = 0.0) -> None:
         super().__init__(message or self.code)
         self.remedy = remedy or type(self).remedy
-        self.retry_after = retry_after or type(self).comes_back
+        self.retry_after = retry_after or COMES_BACK.get(type(self), 0.0)
 
     def as_tuple(self) -> tuple:
         return (self.code, str(self), self.remedy, self.retry_after)
@@ -40,25 +36,21 @@
 class Unreached(IrisError):
     """Certain: not one byte of the request has left. Another colleague may be asked."""
 
-    comes_back = 1.0
     code, status, remedy = "unreached", 503, "ask another colleague"
 
 
 class Unanswered(IrisError):
     """The request left and no result came: nobody here knows whether it ran."""
 
-    comes_back = 1.0
     code, status, remedy = "unanswered", 504, "ask again later; do not assume that it did not run"
 
 
 class OutcomeUnknown(IrisError):
-    comes_back = 5.0
     code, status = "outcome-unknown", 504
     remedy = "it may or may not have run: look at the origin before sending it again"
 
 
 class StaleBlueprint(IrisError):
-    comes_back = 2.0
     code, status, remedy = "stale-blueprint", 503, "try another node; this one has lost the core"
 
 
@@ -71,31 +63,26 @@
 
 
 class DeadlinePassed(IrisError):
-    comes_back = 1.0
     code, status, remedy = "deadline-passed", 504, "ask again; a read is safe to repeat"
 
 
 class OverCeiling(IrisError):
-    comes_back = 1.0
     code, status, remedy = "over-ceiling", 503, "wait for Retry-After seconds"
 
 
 class WarmingUp(IrisError):
     """All origins that are left are cold: what they may get is taken up."""
 
-    comes_back = 1.0
     code, status, remedy = "warming-up", 503, "wait for Retry-After seconds; the origins take more by and by"
 
 
 class NoShare(IrisError):
     """This shield holds no part of the service's ceiling just now; another one does."""
 
-    comes_back = 2.0
     code, status, remedy = "no-share", 503, "wait for Retry-After seconds; shares are being handed over"
 
 
 class NoOrigin(IrisError):
-    comes_back = 2.0
     code, status = "no-origin", 503
     remedy = "wait for Retry-After seconds; no origin of the service is usable"
 
@@ -103,22 +90,18 @@
 class OriginFailed(IrisError):
     """The request went to an origin, which gave no answer: unlike no-origin, it may have run there."""
 
-    comes_back = 1.0
     code, status, remedy = "origin-failed", 502, "ask again; a read is safe to repeat"
 
 
 class NoShield(IrisError):
-    comes_back = 2.0
     code, status, remedy = "no-shield", 503, "wait for Retry-After seconds; no shield is reachable"
 
 
 class Draining(IrisError):
-    comes_back = 1.0
     code, status, remedy = "draining", 503, "ask another node; this one is shutting down"
 
 
 class SiteEvacuated(IrisError):
-    comes_back = 5.0
     code, status, remedy = "site-evacuated", 503, "ask an edge of another site"
 
 
@@ -135,12 +118,10 @@
 
 
 class UnsealedResult(IrisError):
-    comes_back = 1.0
     code, status, remedy = "unsealed-result", 502, "mend the origin: its answer was not whole or not sealed"
 
 
 class WrongService(IrisError):
-    comes_back = 2.0
     code, status, remedy = "wrong-service", 502, "the address belongs to another service; mend the roster"
 
 
@@ -170,12 +151,10 @@
 class NoMajority(IrisError):
     """Raised only before any voter was sent the batch: certainly not accepted."""
 
-    comes_back = 2.0
     code, status, remedy = "no-majority", 503, "nothing was changed; send it again when the core is whole"
 
 
 class ChangeUnknown(IrisError):
-    comes_back = 1.0
     code, status = "outcome-unknown", 503
     remedy = "send the same change id again: it returns the one true result"
 
@@ -197,14 +176,12 @@
 class NoClaim(IrisError):
     """The key could not be claimed, so the write was not sent on."""
 
-    comes_back = 1.0
     code, status, remedy = "no-claim", 503, "wait for Retry-After seconds; the core could not record the key"
 
 
 class TableFull(IrisError):
     """Nothing that is still to be remembered is forgotten to make room."""
 
-    comes_back = 60.0
     code, status = "table-full", 503
     remedy = "wait for Retry-After seconds; the oldest will be gone by then"
 
@@ -214,12 +191,10 @@
 
 
 class NotFounded(IrisError):
-    comes_back = 1.0
     code, status, remedy = "not-founded", 503, "wait until all founding cores have met"
 
 
 class DiskFull(IrisError):
-    comes_back = 10.0
     code, status, remedy = "disk-full", 503, "free space in the data folder; the node votes again by itself"
 
 
@@ -236,6 +211,14 @@
     code, status, remedy = "bad-request", 400, "send what the operators' page describes"
 
 
+# After how many seconds it is worth asking again, where the raiser knows no better.
+COMES_BACK: dict[type[IrisError], float] = {
+    Unreached: 1, Unanswered: 1, OutcomeUnknown: 5, StaleBlueprint: 2, DeadlinePassed: 1, OverCeiling:
+    1, WarmingUp: 1, NoShare: 2, NoOrigin: 2, OriginFailed: 1, NoShield: 2, Draining: 1, SiteEvacuated:
+    5, UnsealedResult: 1, WrongService: 2, NoMajority: 2, ChangeUnknown: 1, NoClaim: 1, TableFull: 60,
+    NotFounded: 1, DiskFull: 10,
+}  # fmt: skip
+
 # Kinds that travel between processes are found again by their code; the registry is the one place to add one.
 REGISTRY: dict[str, type[IrisError]] = {
     kind.code: kind
--- a/src/irisstand/rehearsal/day.py
+++ b/src/irisstand/rehearsal/day.py
@@ -20,11 +20,11 @@
 SWITCHES = 3
 
 
-def rows(ceilings: Ceilings, shields: int, limit: int) -> list[dict[str, typing.Any]]:
+def rows(ceilings: Ceilings, shape: fleet.Shape, limit: int) -> list[dict[str, typing.Any]]:
     """The first blueprint of a simulated day."""
     made = []
     for name, (rate, inflight) in ceilings.items():
-        value = {"deadline": 3.0, "ceiling": {"rate": rate, "inflight": inflight}}
+        value = {"deadline": shape.deadline, "ceiling": {"rate": rate, "inflight": inflight}}
         made.append({"kind": "service", "name": name, "value": value})
     paths = {
         "/vacancies/": {"grants": [{"service": "content", "methods": ["GET"]}], "life": 5},
@@ -34,7 +34,7 @@
     made += [{"kind": "path", "name": name, "value": value} for name, value in paths.items()]
     made += [
         {"kind": "shield", "name": f"shield-machine-{number + 1}", "value": {"limit": limit}}
-        for number in range(shields)
+        for number in range(shape.shields)
     ]
     return made + [switch(number, "content") for number in range(SWITCHES)]
 
@@ -59,6 +59,12 @@
 # Plug-in point: a kind of day is an entry here.
 KINDS = {
     "busy": Kind(),
+    # One region, and no more than a second for any request.
+    "kildespor": Kind(
+        SHAPE._replace(
+            sites=tuple((site, "one") for site in ("alpha", "beta", "gamma", "delta")), deadline=1.0
+        )
+    ),
     # Long enough between losses for machines to go to rest, with limits that make each loss count.
     "quiet": Kind(
         SHAPE._replace(edges=4, rate=25),
@@ -99,7 +105,7 @@
     async def open(self) -> None:
         await self.world.start_all()
         await self.world.until(lambda: all(map(self.world.is_ready, self.world.role("agency"))), 20)
-        first = rows(self.kind.ceilings, self.kind.shape.shields, self.kind.limit)
+        first = rows(self.kind.ceilings, self.kind.shape, self.kind.limit)
         result = await self.stage.order("agency-1", "change", first)
         values = {f"{row['kind']}/{row['name']}": row["value"] for row in first}
         self.watching.confirmed_rows(values, result["serial"])
--- a/src/irisstand/rehearsing.py
+++ b/src/irisstand/rehearsing.py
@@ -40,7 +40,7 @@
 @click.option("--seconds", type=click.FloatRange(5, 86400), default=30, show_default=True)
 @click.option("--workers", type=click.IntRange(1, 256), default=4, show_default=True)
 @click.option("--log", is_flag=True, help="print each day's troubles")
-@click.option("--kind", default="busy", show_default=True, help="busy or quiet")
+@click.option("--kind", default="busy", show_default=True, help="busy, kildespor, quiet, dark or planned")
 def simulate(first: int, days: int, seconds: float, workers: int, log: bool, kind: str) -> None:
     from irisstand.rehearsal import day
     from irisstand.rehearsal import simulate as simulating
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -36,6 +36,7 @@
     "busy": BUSY,
     "dark": BUSY,
     "planned": BUSY | PLANNED,
+    "kildespor": BUSY,
     "quiet": {"a rest leaves enough for any one further loss"},
 }
 BACK = "after a total loss service is back within 15 s"
@@ -48,6 +49,7 @@
     ("busy", 1, 30), ("busy", 4, 20), ("busy", 11, 30), ("busy", 19, 30), ("busy", 20, 30), ("busy", 25, 20),
     ("busy", 26, 30), ("dark", 2, 30), ("dark", 5, 30), ("dark", 8, 30), ("planned", 7, 30),
     ("planned", 10, 30), ("planned", 15, 30), ("planned", 31, 30), ("quiet", 4, 90), ("quiet", 9, 90),
+    ("kildespor", 3, 30), ("kildespor", 6, 30),
 ]  # fmt: skip
 
 
--- a/tests/test_doorstep.py
+++ b/tests/test_doorstep.py
@@ -191,64 +191,6 @@
     scenes.play(scene, seed + 1)
 
 
-def make_cold(day, service, warmup=10.0):
-    """Every origin of the service by a cold one, at once."""
-    trouble = day.trouble
-    fresh = [trouble_origins.replace(trouble, old) for old in of(day, service)]
-    for origin in fresh:
-        origin.warmup = warmup
-        origin.cold[:] = [(origin.cold[0][0], warmup)]
-    return fresh
-
-
-def test_origins_replaced_all_at_once_get_what_their_warmth_allows_and_all_in_the_end():
-    async def scene(day):
-        await set_ceiling(day, "content", 60, 60)
-        fresh = make_cold(day, "content")
-        told = await ask_steadily(day, 100, 16, "/vacancies/")
-        checked = judge(day, "content", (60, 60))
-        assert checked["a cold origin gets no more than its warmth allows"] > 50
-        kinds = {"over-ceiling", "warming-up", "no-origin", "origin-failed", "no-share"}
-        assert {code for status, code in told if status != 200} <= kinds
-        # Warm in the end: the whole ceiling is used again.
-        end = day.watching.now()
-        assert sum(moment > end - 4 for origin in fresh for moment, _ in origin.started) > 150
-
-    scenes.play(scene)
-
-
-def test_a_cold_origin_is_not_flooded_by_shields_that_are_restarted_or_woken_half_way():
-    async def scene(day):
-        await set_ceiling(day, "content", 60, 60)
-        make_cold(day, "content")
-        asking = ask_steadily(day, 100, 12, "/vacancies/")
-        for name in ("shield-1", "shield-4", "shield-2", "shield-5"):
-            await asyncio.sleep(2)
-            await restart(day.world.nodes[name])
-        await asking
-        assert judge(day, "content", (60, 60))["a cold origin gets no more than its warmth allows"] > 30
-
-    scenes.play(scene)
-
-
-def test_an_origin_that_crashed_comes_back_cold_whatever_the_platform_still_says():
-    async def scene(day):
-        await set_ceiling(day, "content", 60, 60)
-        first, second = of(day, "content")
-        for origin in (first, second):
-            origin.warmup = 8.0
-        await asyncio.sleep(1)
-        asking = ask_steadily(day, 50, 14, "/vacancies/")
-        await asyncio.sleep(1)
-        first.up = second.up = False
-        await asyncio.sleep(2)
-        first.up = second.up = True
-        await asking
-        assert judge(day, "content", (60, 60))["a cold origin gets no more than its warmth allows"] > 30
-
-    scenes.play(scene)
-
-
 def test_an_address_handed_to_another_service_gets_no_request_meant_for_the_old_one():
     async def scene(day):
         asking = ask_steadily(day, 60, 8, "/vacancies/")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,13 +2,10 @@
 
 import asyncio
 import collections
-import random
 
-import pytest
 import scenes
 
 import irisstand.agency.fleetview as fleetview
-import irisstand.shortlist.rota as rota
 
 
 def owners(day, name="agency-1"):
@@ -104,125 +101,6 @@
     scenes.play(scene)
 
 
-def test_machines_rest_at_low_load_but_never_so_that_one_loss_could_not_be_carried():
-    async def scene(day):
-        await settle(day, lambda: len([n for n in resting(day) if n.startswith("shield")]) == 3, 90)
-        awake = [n for n in day.world.role("shield") if n.plan.machine not in resting(day)]
-        # Two machines at two sites: either may go.
-        assert len({node.plan.site for node in awake}) == 2
-        # A resting machine stays a member and its agency a voter.
-        assert len(scenes.members(day, "edge-1")) == len(day.world.nodes) - 1
-        assert all(node.body.core.votes("ledger") for node in day.world.role("agency"))
-        for number in range(10):
-            assert (await day.stage.ask("edge-1", "GET", f"/vacancies/r{number}"))[0] == 200
-        # One of the two is lost: somebody is woken, and reads go on meanwhile.
-        awake[0].kill()
-        statuses = [(await day.stage.ask("edge-1", "GET", f"/vacancies/s{n}"))[0] for n in range(10)]
-        assert set(statuses) == {200}
-        lost = awake[0].plan.machine
-        took = await settle(
-            day, lambda: len([n for n in resting(day) if n.startswith("shield") and n != lost]) <= 2, 30
-        )
-        assert took < 10
-        saved = scenes.board(day, "agency-2").ledger
-        await settle(day, lambda: any(True for _ in saved.under("saved/shield")), 90)
-
-    scenes.play(scene)
-
-
-def test_load_wakes_machines_and_a_pinned_one_never_rests():
-    async def scene(day):
-        pinned = {"kind": "machine", "name": "shield-machine-5", "value": {"awake": True}}
-        limits = [
-            {"kind": "shield", "name": node.plan.machine, "value": {"limit": 20}}
-            for node in day.world.role("shield")
-        ]
-        await day.stage.order("agency-1", "change", [pinned, *limits])
-        await settle(day, lambda: len([n for n in resting(day) if n.startswith("shield")]) == 3, 90)
-        assert "shield-machine-5" not in resting(day)
-        why = scenes.board(day, "agency-2").ledger.value("staffing")["why"]
-        assert why["shield-machine-5"] == "awake: pinned by operators"
-        jobs = []
-        for number in range(400):
-            jobs.append(asyncio.create_task(day.stage.ask("edge-1", "GET", f"/shortlists/{number}")))
-            await asyncio.sleep(0.025)
-        # 40 a second at 20 for each machine: with any one lost, three are needed, so four are awake.
-        assert len([n for n in resting(day) if n.startswith("shield")]) <= 1
-        await asyncio.gather(*jobs)
-
-    scenes.play(scene)
-
-
-def test_a_core_that_could_not_lose_one_more_machine_keeps_everybody_awake():
-    async def scene(day):
-        await settle(day, lambda: len([n for n in resting(day) if n.startswith("shield")]) == 3, 90)
-        day.world.nodes["agency-3"].kill()
-        day.world.nodes["agency-4"].kill()
-        await settle(day, lambda: not resting(day), 40)
-
-    scenes.play(scene)
-
-
-def test_nobody_goes_to_rest_beside_a_core_machine_that_died_a_moment_ago():
-    """Found in quiet days: SWIM's list holds a dead voter for seconds, and a rest was judged by the list."""
-
-    async def scene(day):
-        staffing = {
-            node.plan.name: duty for node in day.world.role("agency") for duty in node.body.duties
-            if duty.name == "staffing"
-        }  # fmt: skip
-        holder = next(name for name, duty in staffing.items() if duty.holds())
-        worker = staffing[holder].work.__self__
-        await settle(day, lambda: day.watching.now() - worker.changed_at > worker.rest_pause - 0.3, 30)
-        before = resting(day, holder)
-        victims = [name for name in staffing if name != holder][:2]
-        for name in victims:
-            day.world.nodes[name].kill(reset=False)
-        for _ in range(30):
-            await asyncio.sleep(0.1)
-            assert not resting(day, holder) - before
-
-    scenes.play(scene)
-
-
-def test_a_rested_machine_wakes_on_suspicion_and_not_only_on_a_death_that_is_final():
-    async def scene(day):
-        await settle(day, lambda: len([n for n in resting(day) if n.startswith("shield")]) == 3, 90)
-        awake = [n for n in day.world.role("shield") if n.plan.machine not in resting(day)]
-        awake[0].kill(reset=False)
-        took = await settle(day, lambda: len([n for n in resting(day) if n.startswith("shield")]) < 3, 10)
-        # Confirm comes only some 7 seconds after the death.
-        assert took < 2.5
-
-    scenes.play(scene)
-
-
-@pytest.mark.parametrize("seed", range(3))
-def test_the_rota_never_plans_a_rest_that_breaks_its_promise(seed):
-    """Against an oracle that tries every loss, over random fleets and loads."""
-    randomness = random.Random(seed)
-    for _ in range(400):
-        machines = [
-            rota.Machine(
-                f"m{n}", randomness.choice("xyz"), randomness.choice((5, 10, 20)), randomness.random() < 0.1
-            )  # fmt: skip
-            for n in range(randomness.randrange(1, 8))
-        ]
-        resting_now = {m.name for m in machines if randomness.random() < 0.5}
-        load = randomness.uniform(0, 40)
-        may_rest = randomness.random() < 0.9
-        rest, reasons = rota.plan(machines, resting_now, load, may_rest)
-        assert set(reasons) == {m.name for m in machines}
-        assert not any(m.name in rest and m.pinned for m in machines)
-        assert len(rest - resting_now) <= 1
-        if rest:
-            assert may_rest
-            awake = [m for m in machines if m.name not in rest]
-            losses = [[m for m in awake if m is not lost] for lost in awake]
-            losses += [[m for m in awake if m.site != site] for site in {m.site for m in awake}]
-            assert all(left and sum(m.capacity for m in left) >= load for left in losses)
-
-
 def test_an_evacuated_site_gets_no_new_work_and_comes_back():
     async def scene(day):
         site = "north"
