An abandoned request keeps its place for three seconds at the least

Cause: places were kept for twice the deadline, which is 2 s where the deadline is 1 s, and origins that are slow work for up to 2.8 s.

Change: an origin is taken to work for the longer of 3 s and twice the deadline, at giving up, at a hand-over and, with the deadline once, after a start.

--- a/src/irisstand/agency/placement.py
+++ b/src/irisstand/agency/placement.py
@@ -2,7 +2,7 @@
 
 from irisstand import blackboard
 from irisstand.agency import duties, fleetview
-from irisstand.shortlist import draws, shares, slots
+from irisstand.shortlist import ceilings, draws, shares, slots
 
 # Slots moved of the machine's own will in one step; those of a lost machine move at once.
 STEP = 8
@@ -72,14 +72,14 @@
             row = self.board.blueprint.value(f"service/{service}") or {"deadline": 60}
             # Requests that the last holder began run until their deadline, and an origin may work on at those
             # that were abandoned for as long again.
-            self.frozen_until[service] = now + FRESHNESS + max(1.0, 2 * row["deadline"])
+            self.frozen_until[service] = now + FRESHNESS + ceilings.works_for(row["deadline"])
 
     def share_rows(self, weights: dict[str, float], now: float) -> list:
         current = self.view.shares()
-        ceilings = self.ceilings()
+        limits = self.ceilings()
         # With no rows at all, nobody can hold anything.
         frozen = {s for s, until in self.frozen_until.items() if now < until} if current else set()
-        planned, reduced = shares.plan(current, ceilings, weights, frozen)
+        planned, reduced = shares.plan(current, limits, weights, frozen)
         self.freeze(reduced, now)
         rows = []
         for machine, row in planned.items():
--- a/src/irisstand/noticeboard/shield.py
+++ b/src/irisstand/noticeboard/shield.py
@@ -204,7 +204,7 @@
         except (TimeoutError, asyncio.CancelledError) as error:
             # Nobody waits any more, but the origin may work on: its place is kept for as long as it could.
             touched = line is not None and line.touched
-            works_until = entered_at + 2 * granted.deadline if touched else 0.0
+            works_until = entered_at + ceilings.works_for(granted.deadline) if touched else 0.0
             if isinstance(error, asyncio.CancelledError):
                 raise
             self.board.counters.add("origin_failures", service=granted.service, touched=str(touched))
--- a/src/irisstand/shortlist/ceilings.py
+++ b/src/irisstand/shortlist/ceilings.py
@@ -8,6 +8,13 @@
 WINDOW = 1.05
 # A place is taken for now. Whoever needed longer to get a line asks for a place again.
 FRESH = 0.03
+# An origin may work on for this long at the least, however short the deadline of those who asked.
+WORKS = 3.0
+
+
+def works_for(deadline: float) -> float:
+    """For how long an origin is taken to work at a request, wanted or not."""
+    return max(WORKS, 2 * deadline)
 
 
 class Share:
@@ -22,7 +29,7 @@
 
     def is_opening(self, deadline: float) -> bool:
         """A restarted shield's forerunner may have used all of the share until just now."""
-        return self.clock.now() - self.opened < max(WINDOW, deadline)
+        return self.clock.now() - self.opened < max(WORKS, deadline)
 
     def inflight(self) -> int:
         now = self.clock.now()
--- a/tests/guarded.py
+++ b/tests/guarded.py
@@ -86,7 +86,7 @@
     ("noticeboard/origins.py", "if self.origin.state == \"cold\" or self.has_returned:",
      "if self.origin.state == \"cold\":",
      "test_cold.py::test_an_origin_that_crashed_comes_back_cold_whatever_the_platform_still_says"),
-    ("shortlist/ceilings.py", "        return self.clock.now() - self.opened < max(WINDOW, deadline)",
+    ("shortlist/ceilings.py", "        return self.clock.now() - self.opened < max(WORKS, deadline)",
      "        return False",
      "test_doorstep.py::test_a_shield_just_started_uses_no_share_that_its_forerunner_may_have_filled"),
     ("shortlist/ceilings.py", "        if works_until:\n", "        if False:\n",
