--- a/src/irisstand/agency/voters.py
+++ b/src/irisstand/agency/voters.py
@@ -53,7 +53,9 @@
                 "sites": sorted({voter.site for voter in following}),
             }  # fmt: skip
             why = "the loss of one machine or site could not be borne" if majority else "no majority is up"
-            raise errors.CannotCarry(f"with these voters of {table}, {why}", figures)
+            error = errors.CannotCarry(f"with these voters of {table}, {why}", figures)
+            error.remedy = "bring back the voters that are down, or put a spare in the place of the one"
+            raise error
 
     async def retire(self, name: str) -> dict[str, typing.Any]:
         known = {voter.name for table in items.TABLES for voter in self.of(table)}
@@ -74,7 +76,8 @@
         spare = next((u for u in self.board.colleagues("agency") if u.identity.name == new), None)
         if spare is None:
             names = sorted(update.identity.name for update in self.board.colleagues("agency"))
-            raise errors.Unknown(f"no core node {new!r} is up", f"start it, or use one of {', '.join(names)}")
+            remedy = f"start it first; up are: {', '.join(names) or 'none'}"
+            raise errors.Unknown(f"no core node {new!r} is up", remedy)
         reply = await self.board.postroom.ask(spare.card.address, new, "hold", (), PATIENCE)
         newcomer = quorum.Voter(*reply)
         for table in items.TABLES:
