--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -44,8 +44,8 @@
 # Busy 1: a claim given back late. 4: a batch numbered below its base. 25: an edge cached under the service it
 # had expected. 11, 20: an agency did not wait for its orders. 19: a serial seen before a split was forgotten.
 # Planned 10: orders dropped. 15: a replaced service was taken for a shrunk one, its leaving origin with it.
-# Quiet 4: a rest beside a core machine that had just died. Kildespor 1002: more under way than the ceiling, by
-# abandoned requests. 1028: a term decided after its own end.
+# Quiet 4: a rest beside a core machine that had just died.
+# Kildespor 1002: more under way than the ceiling, by abandoned requests. 1028: a term decided after its end.
 SEEDS = [
     ("busy", 1, 30), ("busy", 4, 20), ("busy", 11, 30), ("busy", 19, 30), ("busy", 20, 30), ("busy", 25, 20),
     ("busy", 26, 30), ("dark", 2, 30), ("dark", 5, 30), ("dark", 8, 30), ("planned", 7, 30),
