One place for a row's standing, voters' places and key prefixes; dead state removed

A change's age repeated the search of tabletime; the places of voters were spelled out three times; the vary set was built anew for each header of a read; a few attributes were written and never read.

--- a/src/irisstand/agency/assembly.py
+++ b/src/irisstand/agency/assembly.py
@@ -32,8 +32,8 @@
         placer, staffer = placement.Placement(self.board), staffing.Staffing(self.board)
         self.duties.append(duties.Duty(self.submitter, "placement", placer.work))
         self.duties.append(duties.Duty(self.submitter, "staffing", staffer.work, STAFFING_TERM))
-        self.retention = retention.Retention(self.board)
-        self.duties.append(duties.Duty(self.submitter, "retention", self.retention.work))
+        keeper = retention.Retention(self.board)
+        self.duties.append(duties.Duty(self.submitter, "retention", keeper.work))
 
     async def open(self) -> None:
         # The disk is read before any port opens: no colleague may hear a voter that does not know its word.
--- a/src/irisstand/agency/changes.py
+++ b/src/irisstand/agency/changes.py
@@ -43,9 +43,7 @@
 
     def seconds_ago(self, copy: typing.Any, serial: serials.Serial) -> float:
         """At the least, by the table's own time, which stands still while nobody keeps it."""
-        time = tabletime.Time(copy.value(items.TIME))
-        after = [mark[0] for mark in time.marks if (mark[1], mark[2]) >= tuple(serial)]
-        return round(time.seconds - after[0], 1) if after else 0.0
+        return round(tabletime.Time(copy.value(items.TIME)).stood(serial), 1)
 
     async def nodes(self, table: str, serial: serials.Serial) -> dict[str, str]:
         """Asked now of every member: in force, behind, stale (it answers nobody by its table), or silent."""
--- a/src/irisstand/agency/fleetview.py
+++ b/src/irisstand/agency/fleetview.py
@@ -73,7 +73,7 @@
         voters = quorum.decode(self.board.copies[table].value(items.VOTERS))
         heard = await asyncio.gather(*(self.stands(voter, table) for voter in voters))
         up = {voter.name for voter, stands in zip(voters, heard, strict=True) if stands}
-        return bool(voters) and rota.core_carries([(v.name, v.machine, v.site) for v in voters], up)
+        return bool(voters) and rota.core_carries(quorum.places(voters), up)
 
     async def stands(self, voter: quorum.Voter, table: str) -> bool:
         try:
--- a/src/irisstand/agency/tabletime.py
+++ b/src/irisstand/agency/tabletime.py
@@ -10,7 +10,7 @@
 
 from irisstand import errors
 from irisstand.agency import overlay as overlays
-from irisstand.ledger import items, serials
+from irisstand.ledger import items, serials, tables
 
 # A step longer than this is a holder that slept; counting less is always safe.
 STEP_LIMIT = 60.0
@@ -58,10 +58,14 @@
         found = [mark for mark in self.marks if mark[0] <= self.seconds - keep]
         return serials.Serial(found[-1][1], found[-1][2]) if found else serials.NONE
 
+    def stood(self, serial: serials.Serial) -> float:
+        """Seconds for which a row of this serial has stood, at the least."""
+        after = [mark[0] for mark in self.marks if (mark[1], mark[2]) >= tuple(serial)]
+        return self.seconds - after[0] if after else 0.0
+
     def left(self, serial: serials.Serial, keep: float) -> float:
         """Seconds until a row of this serial will have stood for `keep`, about."""
-        after = [mark[0] for mark in self.marks if (mark[1], mark[2]) >= tuple(serial)]
-        return max(1.0, keep - (self.seconds - after[0] if after else 0.0))
+        return max(1.0, keep - self.stood(serial))
 
 
 def plan_tick(overlay: overlays.Overlay, payload: typing.Any) -> dict[str, typing.Any]:
@@ -89,7 +93,7 @@
     for serial, key in overlay.copy.by_serial:
         if serial > newest or gone >= FORGET_LIMIT:
             break
-        prefix = key.partition("/")[0]
+        prefix = tables.prefix_of(key)
         old, oldest = cuts.get(prefix, (serials.NONE, serials.NONE))
         # Copies are carried by tips and whole, so a copy that lacks a tombstone cannot bring its row back.
         is_dead = serial <= dead and overlay.copy.items[key].value is None
--- a/src/irisstand/agency/voters.py
+++ b/src/irisstand/agency/voters.py
@@ -41,11 +41,9 @@
         present = self.of(table)
         up = await self.up(list({v.vault: v for v in [*present, *following]}.values()), table)
 
-        def places(voters: list[quorum.Voter]) -> list[tuple[str, str, str]]:
-            return [(voter.name, voter.machine, voter.site) for voter in voters]
-
         majority = 2 * sum(voter.name in up for voter in following) > len(following)
-        worse = rota.core_carries(places(present), up) and not rota.core_carries(places(following), up)
+        carried = rota.core_carries(quorum.places(present), up)
+        worse = carried and not rota.core_carries(quorum.places(following), up)
         if not majority or worse or not following:
             figures = {
                 "table": table, "voters": len(following),
--- a/src/irisstand/errors.py
+++ b/src/irisstand/errors.py
@@ -213,9 +213,9 @@
 
 # After how many seconds it is worth asking again, where the raiser knows no better.
 COMES_BACK: dict[type[IrisError], float] = {
-    Unreached: 1, Unanswered: 1, OutcomeUnknown: 5, StaleBlueprint: 2, DeadlinePassed: 1, OverCeiling:
-    1, WarmingUp: 1, NoShare: 2, NoOrigin: 2, OriginFailed: 1, NoShield: 2, Draining: 1, SiteEvacuated:
-    5, UnsealedResult: 1, WrongService: 2, NoMajority: 2, ChangeUnknown: 1, NoClaim: 1, TableFull: 60,
+    Unreached: 1, Unanswered: 1, OutcomeUnknown: 5, StaleBlueprint: 2, DeadlinePassed: 1, OverCeiling: 1,
+    WarmingUp: 1, NoShare: 2, NoOrigin: 2, OriginFailed: 1, NoShield: 2, Draining: 1, SiteEvacuated: 5,
+    UnsealedResult: 1, WrongService: 2, NoMajority: 2, ChangeUnknown: 1, NoClaim: 1, TableFull: 60,
     NotFounded: 1, DiskFull: 10,
 }  # fmt: skip
 
--- a/src/irisstand/ledger/quorum.py
+++ b/src/irisstand/ledger/quorum.py
@@ -18,6 +18,11 @@
     return [Voter(*parts) for parts in value or []]
 
 
+def places(voters: list[Voter]) -> list[tuple[str, str, str]]:
+    """Names, machines and sites, which is what a loss is judged by."""
+    return [(voter.name, voter.machine, voter.site) for voter in voters]
+
+
 def is_majority(voters: list[Voter], vaults: set[str]) -> bool:
     return 2 * sum(voter.vault in vaults for voter in voters) > len(voters)
 
--- a/src/irisstand/noticeboard/edge.py
+++ b/src/irisstand/noticeboard/edge.py
@@ -68,10 +68,11 @@
         giving = decisions.Giving(self.board.clock, self.view, granted, request.path)
         floor = self.view.purged_at(request.path, ())
         # Only headers that the blueprint names may change a shared answer, so only they are sent on.
+        varied = {name.lower() for name in granted.vary}
         sent = {
             name: value
             for name, value in request.headers.items()
-            if name not in DROPPED and (not shared or name in granted.vary_lower)
+            if name not in DROPPED and (not shared or name in varied)
         }
         key = self.key(granted.service, request, sent)
         if shared:
--- a/src/irisstand/noticeboard/views.py
+++ b/src/irisstand/noticeboard/views.py
@@ -19,10 +19,6 @@
     ceiling: tuple[int, int]
     probe: str
 
-    @property
-    def vary_lower(self) -> set[str]:
-        return {name.lower() for name in self.vary}
-
 
 class Origin(typing.NamedTuple):
     key: str
--- a/src/irisstand/rehearsal/acting.py
+++ b/src/irisstand/rehearsal/acting.py
@@ -27,7 +27,6 @@
         self.counts: dict[str, int] = {}
         self.asked: list[float] = []
         # Times in which nobody could hear the platform, and evacuations by site as [confirmed, taken back].
-        self.back_after: list[float] = []
         self.deaf: list[tuple[float, float]] = []
         self.evacuations: dict[str, list[list[float]]] = collections.defaultdict(list)
         self.at: dict[tuple[str, int], simulated.SimulatedOrigin] = {}
--- a/src/irisstand/rehearsal/rests.py
+++ b/src/irisstand/rehearsal/rests.py
@@ -83,7 +83,5 @@
         able = [voter for voter in up if not self.is_stuck(voter.name)]
         if not quorum.is_durable(voters, {voter.vault for voter in able}):
             return "majority"
-        carried = rota.core_carries(
-            [(voter.name, voter.machine, voter.site) for voter in voters], {voter.name for voter in up}
-        )
+        carried = rota.core_carries(quorum.places(voters), {voter.name for voter in up})
         return "" if carried else "core"
--- a/src/irisstand/rehearsal/trouble_fleet.py
+++ b/src/irisstand/rehearsal/trouble_fleet.py
@@ -138,7 +138,6 @@
         await asyncio.sleep(trouble.randomness.uniform(0, 0.2))
     back = await served_again(trouble, began)
     trouble.world.stage.judge.check("after a total loss service is back within 15 s", back, f"at {began:.2f}")
-    trouble.world.stage.back_after.append(now() - began)
     trouble.held = False
 
 
--- a/src/irisstand/rehearsal/watching.py
+++ b/src/irisstand/rehearsal/watching.py
@@ -165,8 +165,7 @@
     def close_tables(self) -> None:
         boards = {name: node.body.board for name, node in self.world.nodes.items() if node.is_up}
         for name, board in boards.items():
-            for row, offers in self.offers.items():
-                key = row
+            for key, offers in self.offers.items():
                 value, serial = board.blueprint.value(key), board.blueprint.serial(key)
                 sure = max((o for o in offers if o.serial is not None), key=lambda offer: offer.serial)
                 kept = (value == sure.value and serial == sure.serial) or (
--- a/src/irisstand/rehearsal/weather.py
+++ b/src/irisstand/rehearsal/weather.py
@@ -61,7 +61,6 @@
 
     def __init__(self, inner: network.Stream, weather: Weather, port: int) -> None:
         self.inner, self.weather, self.port = inner, weather, port
-        self.last: asyncio.TimerHandle | None = None
         self.free_at = 0.0
 
     async def read(self) -> bytes:
