--- a/src/irisstand/agency/assembly.py
+++ b/src/irisstand/agency/assembly.py
@@ -34,6 +34,8 @@
         self.duties.append(duties.Duty(self.submitter, "staffing", staffer.work, STAFFING_TERM))
         keeper = retention.Retention(self.board)
         self.duties.append(duties.Duty(self.submitter, "retention", keeper.work))
+        wanted = boot.duties.split(",")
+        self.duties = [duty for duty in self.duties if duty.name in wanted]
 
     async def open(self) -> None:
         # The disk is read before any port opens: no colleague may hear a voter that does not know its word.
--- a/src/irisstand/agency/founding.py
+++ b/src/irisstand/agency/founding.py
@@ -4,7 +4,7 @@
 
 from irisstand import errors, ring
 from irisstand.agency import core as cores
-from irisstand.agency import orders, submitting
+from irisstand.agency import fleetview, orders, submitting
 from irisstand.ledger import items, quorum, serials
 
 FIRST = serials.Serial(1, "founding")
@@ -14,6 +14,7 @@
     def __init__(self, core: cores.Core, submitter: submitting.Submitter) -> None:
         self.core, self.board, self.submitter = core, core.board, submitter
         self.missing_since: dict[str, float] = {}
+        self.view = fleetview.FleetView(self.board)
         self.board.postroom.handlers["core-state"] = self.on_core_state
         self.board.postroom.handlers["hold"] = self.on_hold
 
@@ -48,19 +49,24 @@
 
     async def try_founding(self) -> None:
         """Only when every founding core is there and empty; the lowest name writes for all."""
-        members = self.board.colleagues("agency")
+        boot = self.board.boot
+        if not boot.may_found:
+            await self.learn()
+            return
         states = [(self.core.own_voter(), True)]
-        for update in members:
-            voter, empty = await self.board.postroom.ask(
-                update.card.address, update.identity.name, "core-state", (), 1.0
-            )
+        for address, name in self.founders():
+            voter, empty = await self.board.postroom.ask(address, name, "core-state", (), 1.0)
             states.append((quorum.Voter(*voter), empty))
         # One founded colleague, or one that cannot be asked, means learning and not founding.
         if not all(empty for _, empty in states):
             await self.learn()
             return
         voters = sorted(voter for voter, _ in states)
-        if len(voters) != self.board.boot.founding or voters[0].name != self.board.boot.name:
+        is_complete = len(voters) == boot.founding
+        if boot.found_by_seeds:
+            # Everybody was given the same seeds, and they are up: they found, and vote the others in.
+            is_complete = (boot.host, boot.port) in boot.seeds and len(voters) == len(boot.seeds)
+        if not is_complete or voters[0].name != boot.name:
             return
         rows = ((items.VOTERS, [tuple(voter) for voter in voters], False),)
         batch = items.encode_batch(items.Batch(FIRST, serials.NONE, rows))
@@ -69,6 +75,13 @@
             await self.core.ask_voter(voter, "found", body)
         ring.note("founded", voters=[voter.name for voter in voters])
 
+    def founders(self) -> list[tuple]:
+        """Address and name of the other cores that have to be empty for a founding; a seed's name is not known."""
+        boot = self.board.boot
+        if boot.found_by_seeds:
+            return [(seed, "") for seed in boot.seeds if seed != (boot.host, boot.port)]
+        return [(u.card.address, u.identity.name) for u in self.board.colleagues("agency")]
+
     async def learn(self) -> None:
         for address, name in self.core.courier.sources():
             try:
@@ -85,22 +98,27 @@
                 await self.learn()
             if self.core.votes(table) or not self.board.is_current(copy):
                 continue
-            leaves = self.replaceable(table)
+            leaves = await self.replaceable(table)
+            room = self.board.boot.voters if self.board.boot.found_by_seeds else 0
             # A spare core node: it knows everything, and waits until a voter is gone.
-            if not leaves:
+            if not leaves and len(self.core.voters(table)) >= room:
                 continue
             await self.core.owners[table].order("keep")
-            payload = (tuple(self.core.own_voter()), leaves)
+            payload = (tuple(self.core.own_voter()), leaves, room)
             await self.submitter.submit(orders.Order(f"enrol-{table}", "", payload))
             ring.note("enrolled", table=table, leaves=leaves)
 
-    def replaceable(self, table: str) -> str:
+    async def replaceable(self, table: str) -> str:
         """The voter whose place this node may take: its own older self, or one that is long gone."""
         now = self.board.clock.now()
-        present = {update.identity.name for update in self.board.colleagues("agency")}
         voters = self.core.voters(table)
         if any(voter.name == self.board.boot.name for voter in voters):
             return self.board.boot.name
+        present = {update.identity.name for update in self.board.colleagues("agency")}
+        if self.board.boot.found_by_seeds:
+            # SWIM keeps a dead member for seconds; the next loss may come before that.
+            heard = await asyncio.gather(*(self.view.stands(voter, table) for voter in voters))
+            present = {voter.name for voter, stands in zip(voters, heard, strict=True) if stands}
         for voter in voters:
             if voter.name in present:
                 self.missing_since.pop(voter.name, None)
--- a/src/irisstand/agency/operators.py
+++ b/src/irisstand/agency/operators.py
@@ -8,7 +8,8 @@
 import sanic.response
 
 from irisstand import blackboard, errors, web
-from irisstand.agency import changes, evacuation, orders, submitting, voters
+from irisstand import boot as booting
+from irisstand.agency import amending, changes, evacuation, orders, submitting, voters
 from irisstand.rollcall import updates
 from irisstand.vetting import schema
 
@@ -25,6 +26,8 @@
         self.voters = voters.Voters(board, submitter)
         add = server.app.add_route
         add(self.get_rows, "/rows", methods=["GET"])
+        add(self.get_items, "/items", methods=["GET"])
+        add(self.post_amendment, "/amendments", methods=["POST"])
         add(self.post_change, "/changes", methods=["POST"])
         add(self.get_change, "/changes/<change>", methods=["GET"])
         add(self.get_voters, "/voters", methods=["GET"])
@@ -52,6 +55,15 @@
                 rows.append({"kind": kind, "name": name, "serial": str(item.serial), "value": item.value})
         return web.as_json({"tip": str(copy.tip), "rows": rows})
 
+    async def get_items(self, request: sanic.request.Request) -> sanic.response.HTTPResponse:
+        """All versioned items that stand, laid out as an amendment that would put them."""
+        self.check_current()
+        return web.as_json(amending.listing(self.board.blueprint))
+
+    async def post_amendment(self, request: sanic.request.Request) -> sanic.response.HTTPResponse:
+        """Items with their senders' own versions: each alone is its own id, so a call may come again."""
+        return await self.submit("amend", "", amending.parse(request.body))
+
     async def get_change(
         self, request: sanic.request.Request, change: str
     ) -> sanic.response.HTTPResponse:
@@ -146,6 +158,9 @@
 
     async def post_purge(self, request: sanic.request.Request) -> sanic.response.HTTPResponse:
         content = self.body(request)
+        # One object or tag by itself: a purge of it again is the same purge, and needs no id.
+        if "tag" in content or "path" in content:
+            return await self.submit("purge", "", [self.single_purge(content)])
         paths, tags = content.get("paths", []), content.get("tags", [])
         if not isinstance(paths, list) or not isinstance(tags, list):
             raise errors.BadRequest("paths and tags are not lists", "send lists of words")
@@ -159,21 +174,35 @@
                 raise errors.BadRequest(f"path {name!r} does not begin with /", "send the whole path")
         return await self.submit("purge", self.change_id(content), named)
 
+    def single_purge(self, content: dict) -> tuple[str, str]:
+        """{"tag": TAG}, or {"host": HOST, "path": PATH} for what that host serves there."""
+        tag, host, path = content.get("tag"), content.get("host", ""), content.get("path")
+        if isinstance(tag, str) and 0 < len(tag) <= 1024 and path is None:
+            return ("tag", tag)
+        is_place = isinstance(path, str) and isinstance(host, str) and path.startswith("/")
+        if tag is None and is_place and len(host) + len(path) <= 2048:
+            return ("path", host + path)
+        raise errors.BadRequest("not one tag, nor one host and path", "name a tag, or a host and a path")
+
     async def put_evacuation(
         self, request: sanic.request.Request, site: str
     ) -> sanic.response.HTTPResponse:
         known = {update.card.site for update in self.board.detector.roster.members.values()}
         known |= {self.board.boot.site}
         known |= {item.key.split("/", 1)[1] for item in self.board.blueprint.under("site/")}
+        known |= set(booting.pairs(self.board.boot.region_by_site))
         if site not in known:
             raise errors.Unknown(f"no site {site!r}", f"use one of {', '.join(sorted(known))}")
+        # Where only origins are emptied, the machines carry on, and an order again is the same order.
+        only_origins = self.board.boot.evacuates == "origins"
+        change = "" if only_origins else self.change_id({})
         if request.method == "DELETE":
-            return await self.submit("return", self.change_id({}), site)
+            return await self.submit("return", change, site)
         notes: list[str] = []
         # Ordered twice is the same as ordered once, and has been judged already.
-        if not self.evacuation.view.is_evacuated(site):
+        if not only_origins and not self.evacuation.view.is_evacuated(site):
             notes = await self.evacuation.check(site, request.args.get("insist") == "true")
-        response = await self.submit("evacuate", self.change_id({}), site)
+        response = await self.submit("evacuate", change, site)
         if notes and response.status == 200:
             response = web.as_json({**json.loads(response.body), "notes": notes})
         return response
--- a/src/irisstand/agency/orders.py
+++ b/src/irisstand/agency/orders.py
@@ -4,6 +4,7 @@
 import typing
 
 from irisstand import errors
+from irisstand.agency import amending
 from irisstand.agency import overlay as overlays
 from irisstand.agency import tabletime
 from irisstand.ledger import items, quorum, serials
@@ -69,15 +70,18 @@
 def plan_enrol(overlay: Overlay, payload: typing.Any) -> Planned:
     """Vote a core node in, one change of the voters at a time.
 
-    Under a known name it replaces that node's lost disk; under a new name, the voter that it says is gone.
+    Under a known name it replaces that node's lost disk; under a new name, the voter that it says is gone, or
+    nobody, as long as there are fewer voters than there is room for.
     """
     newcomer, replaced = quorum.Voter(*payload[0]), payload[1]
+    room = payload[2] if len(payload) > 2 else 0
     voters = quorum.decode(overlay.value(items.VOTERS))
     if any(voter.vault == newcomer.vault for voter in voters):
         return {}
     known = [voter.name for voter in voters]
     leaves = newcomer.name if newcomer.name in known else replaced
-    if leaves not in known:
+    grows = not leaves and len(voters) < room
+    if leaves not in known and not grows:
         raise errors.StaleSerial([{"voter": leaves, "in_force": str(overlay.serial(items.VOTERS))}])
     following = [voter for voter in voters if voter.name != leaves] + [newcomer]
     # Rejected whole: a set that one lost site could rob of its majority, where the present one could not.
@@ -140,6 +144,7 @@
 # Plug-in point: kind of order -> the table it writes and how it is planned.
 REGISTRY: dict[str, tuple[str, collections.abc.Callable[[Overlay, typing.Any], Planned]]] = {
     "change": (items.BLUEPRINT, plan_change),
+    "amend": (items.BLUEPRINT, amending.plan_amend),
     "purge": (items.LEDGER, plan_purge),
     "evacuate": (items.LEDGER, plan_evacuate),
     "return": (items.LEDGER, plan_return),
--- a/src/irisstand/agency/program.py
+++ b/src/irisstand/agency/program.py
@@ -12,6 +12,13 @@
 
 async def assemble(boot: booting.Boot, log_ring: ring.Ring) -> running.Opened:
     ask = watch.http_ask(boot.platform) if boot.platform is not None else None
+    return await assemble_with(ask, boot, log_ring)
+
+
+async def assemble_with(
+    ask: watch.Ask | None, boot: booting.Boot, log_ring: ring.Ring
+) -> running.Opened:
+    """With another way of asking the platform for its origins."""
     agency = assembly.Agency(
         boot, clocks.MonotonicClock(), random.SystemRandom(), network.RealNetwork(),
         disks.FolderDisk(pathlib.Path(boot.data)), ask,
--- a/src/irisstand/agency/submitting.py
+++ b/src/irisstand/agency/submitting.py
@@ -11,6 +11,8 @@
 
 FORWARD_PATIENCE = 1.5
 ONLY_PATIENCE = 5.0
+# Decided twice, these are the same as decided once, whoever took them.
+REPEATABLE = ("amend", "purge", "evacuate", "return")
 
 
 class Submitter:
@@ -71,7 +73,7 @@
             except errors.Unanswered as error:
                 # It left for the voter, and whether it was decided is not known. With a change id it can be
                 # sent again to anybody for the one true result; without one it must not be.
-                if own and order.change:
+                if own and (order.change or order.kind in REPEATABLE):
                     break
                 raise errors.ChangeUnknown(str(error)) from None
             return unwrap(reply)
--- a/src/irisstand/agency/watch.py
+++ b/src/irisstand/agency/watch.py
@@ -22,6 +22,7 @@
         "site": {"type": "string"},
         "state": {"enum": ["cold", "ready", "leaving"]},
         "warmup": {"type": "number", "minimum": 0},
+        "slots": {"type": "integer", "minimum": 0},
     },
 }
 ANSWER = jsonschema.Draft202012Validator(
@@ -137,13 +138,20 @@
         return [("platform", {"state": state, "why": why, "revision": kept})]
 
     def origins(self, answer: dict) -> dict[str, typing.Any]:
-        return {
-            f"origin/{origin['id']}": {
-                "service": origin["service"], "host": origin["host"], "port": origin["port"],
-                "site": origin["site"], "state": origin["state"], "warmup": origin.get("warmup", 0),
-            }
-            for origin in answer["origins"]
+        return {f"origin/{origin['id']}": self.row(origin) for origin in answer["origins"]}
+
+    def row(self, origin: dict) -> dict[str, typing.Any]:
+        found = {
+            "service": origin["service"], "host": origin["host"], "port": origin["port"],
+            "site": origin["site"], "state": origin["state"], "warmup": origin.get("warmup", 0),
         }  # fmt: skip
+        if "slots" in origin:
+            found["slots"] = origin["slots"]
+        known = self.board.ledger.value(f"origin/{origin['id']}")
+        # What is left of a warm-up ticks down with each answer: the row keeps what was left at first.
+        if known is not None and known["state"] == found["state"] == "cold":
+            found["warmup"] = max(found["warmup"], known["warmup"])
+        return found
 
     def shrunk(self, origins: dict[str, typing.Any]) -> list[str]:
         """Services that would lose most of their origins at once, or all of them to an empty list."""
--- a/src/irisstand/blackboard.py
+++ b/src/irisstand/blackboard.py
@@ -76,7 +76,8 @@
     def regions(self) -> dict[str, str]:
         """Regions by site, as the members' cards tell them."""
         cards = [update.card for update in self.detector.roster.members.values()]
-        return {self.boot.site: self.boot.region, **{card.site: card.region for card in cards}}
+        told = {card.site: card.region for card in cards}
+        return {self.boot.site: self.boot.region, **told, **booting.pairs(self.boot.region_by_site)}
 
     def colleagues(self, role: str) -> list[updates.Update]:
         """Members of a role not declared failed, this node left out; those not suspected come first."""
--- a/src/irisstand/boot.py
+++ b/src/irisstand/boot.py
@@ -32,6 +32,19 @@
     replace_after: float = 60.0
     cache_bytes: int = 256 * 1024 * 1024
     keys_kept: float = 1200.0
+    front: Address | None = None
+    found_by_seeds: bool = False
+    may_found: bool = True
+    voters: int = 5
+    duties: str = "platform-watch,placement,staffing,retention"
+    vocabulary: str = "irisstand"
+    region_by_site: str = ""
+    evacuates: str = "machines"
+    platform_lag: float = 1.0
+    second_share: float = 0.2
+    second_allowance: float = 20.0
+    cold_burst: float = 5.0
+    cold_factor: float = 1.5
 
 
 def word(value: typing.Any) -> str:
@@ -79,11 +92,53 @@
 
 
 def role(value: typing.Any) -> str:
-    if value not in ("edge", "shield", "store", "agency"):
-        raise ValueError("give edge, shield or store")
+    if value not in ("edge", "shield", "store", "direct", "agency"):
+        raise ValueError("give edge, shield, store or direct")
     return value
 
 
+def one_of(*words: str) -> collections.abc.Callable:
+    def check(value: typing.Any) -> str:
+        if value not in words:
+            raise ValueError(f"give {' or '.join(words)}")
+        return value
+
+    return check
+
+
+def yes_or_no(value: typing.Any) -> bool:
+    """
+    >>> yes_or_no("no"), yes_or_no(True)
+    (False, True)
+    """
+    if str(value).lower() in ("yes", "true"):
+        return True
+    if str(value).lower() in ("no", "false"):
+        return False
+    raise ValueError("give yes or no")
+
+
+def duty_names(value: typing.Any) -> str:
+    known = ("platform-watch", "placement", "staffing", "retention")
+    if not isinstance(value, str) or any(name not in known for name in value.split(",") if name):
+        raise ValueError(f"give names out of {', '.join(known)}, with commas between")
+    return value
+
+
+def places(value: typing.Any) -> str:
+    """
+    >>> pairs(places("north=one,south=two"))
+    {'north': 'one', 'south': 'two'}
+    """
+    if not isinstance(value, str) or any(entry.count("=") != 1 for entry in value.split(",") if entry):
+        raise ValueError("give site=region pairs, with commas between")
+    return value
+
+
+def pairs(value: str) -> dict[str, str]:
+    return dict(entry.split("=") for entry in value.split(",") if entry)
+
+
 # One entry for each setting: its check and what it is, which is also the help of its flag.
 REGISTRY: dict[str, tuple[collections.abc.Callable, str]] = {
     "name": (word, "the node's name, unlike any other's"),
@@ -94,7 +149,7 @@
     "port": (number_between(1, 65535, int), "the port for colleagues, TCP and UDP"),
     "http_port": (number_between(1, 65535, int), "the port for HTTP"),
     "seeds": (addresses, "up to three addresses of other processes, with commas between"),
-    "role": (role, "edge, shield or store"),
+    "role": (role, "edge, shield, store or direct"),
     "data": (str, "the data folder (agency only)"),
     "founding": (number_between(1, 99, int), "how many cores found the network together (agency only)"),
     "platform": (address, "the platform's address (agency only)"),
@@ -110,6 +165,19 @@
         number_between(60, 86400), "seconds for which an Idempotency-Key is remembered at the least (agency)",
     ),
     "cache_bytes": (number_between(0, 1 << 40, int), "memory for cached objects, in bytes"),
+    "front": (address, "where consumers are served, as IP number and port (role direct)"),
+    "found_by_seeds": (yes_or_no, "the seeds found the core, and the others are voted in (agency)"),
+    "may_found": (yes_or_no, "whether this node may found a core: never on a disk that was lost (agency)"),
+    "voters": (number_between(1, 99, int), "how many voters to grow to after founding by seeds (agency)"),
+    "duties": (duty_names, "the duties that this core works on (agency)"),
+    "vocabulary": (word, "the names of the headers towards consumers and origins (role direct)"),
+    "region_by_site": (places, "the region of each site, as site=region pairs"),
+    "evacuates": (one_of("machines", "origins"), "what an evacuation empties: machines and origins, or origins"),
+    "platform_lag": (number_between(0, 60), "seconds by which the platform's list trails"),
+    "second_share": (number_between(0, 1), "second tries allowed fleet-wide, as a share of first ones"),
+    "second_allowance": (number_between(0, 1e6), "second tries allowed fleet-wide beside that, in 10 s"),
+    "cold_burst": (number_between(0, 1e6), "requests that a cold origin may get in a second beside its rate"),
+    "cold_factor": (number_between(0, 100), "how many times its rate a cold origin may get in a second"),
 }
 OPTIONAL = set(Boot._field_defaults)
 
@@ -147,7 +215,9 @@
         if key not in given:
             faults.append(f"{key}: nothing is set; give {REGISTRY[key][1]}")
     if program != "agency" and checked.get("role") == "agency":
-        faults.append("role: 'agency' does not do; give edge, shield or store, or start irisstand-agency")
+        faults.append("role: 'agency' does not do; give edge, shield, store or direct, or start irisstand-agency")
+    if checked.get("role") == "direct" and "front" not in checked:
+        faults.append("front: nothing is set; give where consumers are served, as in 10.0.0.1:8080")
     if "port" in checked and checked["port"] == checked.get("http_port"):
         faults.append(f"http_port: {checked['port']} is also the port for colleagues; give another port")
     if program == "agency" and isinstance(given.get("data"), str) and "data" in checked:
--- /dev/null
+++ b/src/irisstand/noticeboard/frontage.py
@@ -0,0 +1,110 @@
+"""The consumers' listener of an edge that reaches origins by itself: sanic's requests to ours, and back."""
+
+import asyncio
+
+import sanic.exceptions
+import sanic.request
+import sanic.response
+
+from irisstand import blackboard, errors, ring
+from irisstand import boot as booting
+from irisstand.noticeboard import direct
+
+METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+# Sanic writes these itself.
+OWN = frozenset(("connection", "keep-alive", "content-length", "transfer-encoding", "content-type"))
+
+
+class Frontage:
+    def __init__(self, board: blackboard.Board, part: direct.Direct, address: booting.Address) -> None:
+        self.board, self.part, self.address = board, part, address
+        name = "irisstand_front_" + "".join(c if c.isalnum() else "_" for c in board.boot.name)
+        self.app = sanic.Sanic(name, configure_logging=False)
+        self.app.config.update(
+            {"MOTD": False, "ACCESS_LOG": False, "RESPONSE_TIMEOUT": 120, "TOUCHUP": False}
+        )
+        self.follow()
+        board.blueprint.watchers.append(self.follow)
+        self.app.error_handler.add(Exception, self.on_error)
+        self.app.add_route(self.serve, "/", methods=METHODS, name="root")
+        self.app.add_route(self.serve, "/<rest:path>", methods=METHODS, name="rest")
+        self.server = None
+
+    def follow(self) -> None:
+        """The operators' limits; a connection takes those that stand when it opens."""
+        self.part.table.refresh()
+        limits = self.part.table.limits
+        self.app.config.update(
+            {
+                "REQUEST_MAX_SIZE": limits.body_bytes, "REQUEST_MAX_HEADER_SIZE": limits.header_bytes,
+                "REQUEST_TIMEOUT": max(1.0, limits.header), "KEEP_ALIVE_TIMEOUT": max(1.0, limits.idle),
+            }
+        )  # fmt: skip
+
+    async def open_when_current(self) -> None:
+        """A node just started would only turn consumers away: it listens once it can answer them."""
+        while not all(map(self.board.is_current, self.board.copies.values())):
+            await asyncio.sleep(0.02)
+        if self.board.leaving:
+            return
+        try:
+            self.server = await self.app.create_server(
+                host=self.address[0], port=self.address[1], return_asyncio_server=True, access_log=False,
+                backlog=512,
+            )
+            await self.server.startup()
+            await self.server.start_serving()
+        except OSError as error:
+            raise errors.PortTaken(str(error)) from None
+
+    async def stop_listening(self) -> None:
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+    async def serve(
+        self, request: sanic.request.Request, rest: str = ""
+    ) -> sanic.response.HTTPResponse:
+        headers: dict[str, str] = {}
+        for name, value in request.headers.items():
+            key = name.lower()
+            headers[key] = f"{headers[key]}, {value}" if key in headers else value
+        asked = direct.Request(
+            request.method, request.raw_url, headers.pop("host", ""), headers, request.body or b""
+        )
+        # A consumer that goes away does not take back what an origin is at work on.
+        task = asyncio.get_running_loop().create_task(self.answer(asked))
+        with self.board.working():
+            response = await asyncio.shield(task)
+        # A kept connection would bring more work to a node that is leaving.
+        if self.board.leaving or self.board.draining:
+            request.stream.keep_alive = False
+        return response
+
+    async def answer(self, asked: direct.Request) -> sanic.response.HTTPResponse:
+        try:
+            status, headers, body = await self.part.handle(asked)
+        except errors.IrisError as error:
+            return self.as_fault(error)
+        except Exception as error:
+            ring.note("crash", error=repr(error))
+            self.board.counters.add("requests_crashed")
+            return self.as_fault(errors.OutcomeUnknown("an error of this node's own"))
+        kept = {name: value for name, value in headers.items() if name not in OWN}
+        content_type = headers.get("content-type", "application/octet-stream")
+        return sanic.response.HTTPResponse(body, status, kept, content_type)
+
+    def as_fault(self, error: errors.IrisError) -> sanic.response.HTTPResponse:
+        headers = {"Cache-Control": "no-store"}
+        # Told at once when to come back, to a part of a second.
+        if error.retry_after:
+            headers["Retry-After"] = f"{error.retry_after:.2f}"
+        return sanic.response.json(error.as_object(), error.status, headers)
+
+    def on_error(self, request: sanic.request.Request, error: Exception) -> sanic.response.HTTPResponse:
+        status = getattr(error, "status_code", None) or 500
+        # Sanic calls an oversized head an oversized payload; HTTP has a status of its own for it.
+        if status == 413 and "header" in str(error).lower():
+            status = 431
+        remedy = "send what the operators' page describes, within its limits"
+        return sanic.response.json({"code": f"http-{status}", "message": str(error), "remedy": remedy}, status)
--- a/src/irisstand/noticeboard/origins.py
+++ b/src/irisstand/noticeboard/origins.py
@@ -152,7 +152,7 @@
             self.pools[place].note_evacuation(self.view.is_evacuated(origin.site))
 
     def place(self, origin: views.Origin) -> views.Origin:
-        return origin._replace(state="", warmup=0)
+        return origin._replace(state="", warmup=0, slots=0)
 
     def draw(self, granted: views.Granted, tried: typing.Container[str]) -> Pool:
         """Of two drawn at random by warmth, the less busy: good spread without a view of the others."""
--- a/src/irisstand/noticeboard/program.py
+++ b/src/irisstand/noticeboard/program.py
@@ -4,7 +4,7 @@
 
 from irisstand import boot as booting
 from irisstand import clocks, ring, running, web
-from irisstand.noticeboard import assembly, front, lines
+from irisstand.noticeboard import assembly, front, frontage, lines
 from irisstand.postroom import network
 
 
@@ -14,6 +14,12 @@
     )
     server = web.Web(noticeboard.board, log_ring)
     await noticeboard.open()
+    if boot.role == "direct":
+        # Readiness has an address of its own, and tells from the start why there is none yet.
+        await server.open()
+        face = frontage.Frontage(noticeboard.board, noticeboard.part, boot.front)
+        noticeboard.board.start(face.open_when_current(), "front")
+        return noticeboard.board, lambda: stop_all(server, face)
     if boot.role == "edge":
         front.Front(server, noticeboard.part)
         noticeboard.board.start(server.open_when_current(), "listener")
@@ -22,6 +28,11 @@
     return noticeboard.board, server.stop_listening
 
 
+async def stop_all(server: web.Web, face: frontage.Frontage) -> None:
+    await face.stop_listening()
+    await server.stop_listening()
+
+
 main = running.command("noticeboard", "Run the data plane in one of its roles.", assemble)
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/irisstand/noticeboard/targets.py
@@ -0,0 +1,249 @@
+"""Origins as an edge reaches them by itself: their connections, what the traffic tells of them, and the draw."""
+
+import asyncio
+import typing
+
+from irisstand import blackboard, errors, ring
+from irisstand.noticeboard import exchange, routes, views, vocabulary
+from irisstand.shortlist import parts
+
+CONNECT_PATIENCE = 0.4
+PROBE_PATIENCE = 0.6
+# Seconds until an origin that could not be reached is probed, doubled with each failure.
+BACKOFF, BACKOFF_LIMIT = 0.25, 2.0
+# Of the time that an answer took, how much the newest counts.
+NEWEST = 0.2
+FIRST_GUESS = 0.08
+# What a request waits for at an origin that far from here, in seconds a request at rest.
+OTHER_SITE, OTHER_REGION = 0.010, 0.060
+# An origin that let a request wait for so many times its usual time is left alone while others answer.
+DOUBT = 4.0
+DOUBT_LEAST = 0.25
+# After a start, what the forerunner sent is not known: no cold origin gets anything.
+SETTLING = 3.0
+FAILURES = (OSError, TimeoutError, ValueError, errors.IrisError)
+
+
+class Target:
+    """One origin's instance: its health comes from requests, and from probes only while it gets none."""
+
+    def __init__(self, board: blackboard.Board, origin: views.Origin, connect: exchange.Connect) -> None:
+        self.board, self.origin, self.connect = board, origin, connect
+        self.idle: list[exchange.Exchange] = []
+        self.started: dict[int, float] = {}
+        self.number = 0
+        self.usual = FIRST_GUESS
+        self.down_until, self.backoff = 0.0, BACKOFF
+        self.full_until = 0.0
+        self.is_down, self.gone = False, False
+        self.cold_until = 0.0
+        self.sent_cold = parts.Window(board.clock)
+
+    @property
+    def instance(self) -> str:
+        return self.origin.key.removeprefix("origin/")
+
+    def begin(self) -> int:
+        self.number += 1
+        self.started[self.number] = self.board.clock.now()
+        return self.number
+
+    def finish(self, number: int, answered: bool) -> None:
+        took = self.board.clock.now() - self.started.pop(number)
+        if answered:
+            self.usual += NEWEST * (took - self.usual)
+            self.is_down, self.backoff = False, BACKOFF
+
+    def is_doubtful(self) -> bool:
+        oldest = min(self.started.values(), default=None)
+        limit = max(DOUBT_LEAST, DOUBT * self.usual)
+        return oldest is not None and self.board.clock.now() - oldest > limit
+
+    def is_cold(self) -> bool:
+        return self.origin.state == "cold" or self.board.clock.now() < self.cold_until
+
+    def lines(self) -> int:
+        return len(self.idle) + len(self.started)
+
+    async def take(self, patience: float) -> exchange.Exchange:
+        """A connection for one request. Its failure touches nothing, and marks the origin as down."""
+        while self.idle:
+            line = self.idle.pop()
+            if line.is_usable():
+                return line
+            line.close()
+        try:
+            async with asyncio.timeout(min(CONNECT_PATIENCE, patience)):
+                line = await self.connect(self.origin.host, self.origin.port)
+        except (OSError, TimeoutError) as error:
+            self.fail(repr(error))
+            raise errors.Unreached(f"the origin {self.instance} takes no connection") from None
+        self.board.counters.add("origin_connections", service=self.origin.service)
+        return line
+
+    def give_back(self, line: exchange.Exchange) -> None:
+        line.touched = False
+        if line.alive and not self.gone:
+            self.idle.append(line)
+        else:
+            line.close()
+
+    def fail(self, why: str) -> None:
+        if not self.is_down:
+            ring.note("origin-down", origin=self.instance, why=why)
+        self.is_down = True
+        self.down_until = self.board.clock.now() + self.backoff
+        self.backoff = min(BACKOFF_LIMIT, 2 * self.backoff)
+
+    def end(self) -> None:
+        self.gone = True
+        for line in self.idle:
+            line.close()
+        self.idle.clear()
+
+
+class Targets:
+    """Follows the roster in the ledger, draws by the route's rules, and probes what is down."""
+
+    def __init__(
+        self, board: blackboard.Board, view: views.Views, table: routes.Routes, words: vocabulary.Vocabulary,
+        connect: exchange.Connect,
+    ) -> None:  # fmt: skip
+        self.board, self.view, self.table, self.words, self.connect = board, view, table, words, connect
+        self.all: dict[str, Target] = {}
+        self.evacuated: set[str] = set()
+        self.opened_at = board.clock.now()
+        self.edges_at, self.edge_names = -1e9, [board.boot.name]
+        self.ceilings: dict[str, parts.Ceiling] = {}
+        self.site_regions: dict[str, str] = {}
+        board.ledger.watchers.append(self.follow)
+
+    def follow(self) -> None:
+        listed = {origin.key: origin for origin in self.view.origins()}
+        for key in [key for key in self.all if key not in listed]:
+            self.all.pop(key).end()
+        for key, origin in listed.items():
+            known = self.all.get(key)
+            place = (origin.host, origin.port, origin.service)
+            if known is not None and (known.origin.host, known.origin.port, known.origin.service) == place:
+                known.origin = origin
+                continue
+            if known is not None:
+                known.end()
+            self.all[key] = Target(self.board, origin, self.connect)
+        self.follow_evacuations()
+
+    def follow_evacuations(self) -> None:
+        """Origins of a site taken back may be cold before the platform's list says so."""
+        prefix = "evacuated/"
+        copy = self.board.ledger
+        now = self.board.clock.now()
+        current = {item.key.removeprefix(prefix) for item in copy.under(prefix)}
+        returned = self.evacuated - current
+        # A node just started cannot tell how long ago a site was taken back.
+        if now - self.opened_at < SETTLING:
+            keys = [key for key in copy.items.irange(prefix, prefix + "\U0010ffff")]
+            returned |= {key.removeprefix(prefix) for key in keys if copy.value(key) is None}
+        for target in self.all.values():
+            if target.origin.site in returned:
+                target.cold_until = now + self.board.boot.platform_lag + SETTLING
+        self.evacuated = current
+
+    def edges(self) -> list[str]:
+        """Names of all edges, this one among them; the list is read again now and then."""
+        now = self.board.clock.now()
+        if now - self.edges_at > 0.5:
+            names = {update.identity.name for update in self.board.colleagues(self.board.role)}
+            self.edge_names, self.edges_at = sorted(names | {self.board.boot.name}), now
+        return self.edge_names
+
+    def region_of(self, site: str) -> str:
+        if site not in self.site_regions:
+            self.site_regions = self.board.regions()
+        return self.site_regions.get(site, "")
+
+    # -- the draw ------------------------------------------------------------------------------------
+    def draw(self, route: routes.Route, upstream: routes.Upstream, tried: typing.Container[str]) -> Target:
+        """The origin that should answer soonest, of those the rules allow now; NoOrigin, WarmingUp or OverCeiling."""
+        now = self.board.clock.now()
+        listed = [
+            target
+            for target in self.all.values()
+            if target.origin.service == upstream.name and target.origin.state != "leaving"
+            and target.instance not in tried and not self.view.is_evacuated(target.origin.site)
+            and (not route.regions or self.region_of(target.origin.site) in route.regions)
+        ]  # fmt: skip
+        up = [target for target in listed if not target.is_down]
+        if not up:
+            raise errors.NoOrigin(f"no origin of {upstream.name} is usable just now", retry_after=0.3)
+        most = max(2, int(parts.PRUDENCE * upstream.connections / len(self.edges())))
+        free = [t for t in up if len(t.started) < most and now >= t.full_until]
+        if not free:
+            raise errors.OverCeiling(f"every origin of {upstream.name} is full", retry_after=0.1)
+        # Cold ones only while no other is left, and no more than their part.
+        warm = [target for target in free if not target.is_cold()]
+        sure = [target for target in warm if not target.is_doubtful()]
+        found = sure or warm or [target for target in free if self.may_send_cold(target, upstream)]
+        if not found:
+            raise errors.WarmingUp(f"the origins of {upstream.name} are warming up", retry_after=0.4)
+        return min(found, key=self.cost)
+
+    def cost(self, target: Target) -> float:
+        """Seconds until its answer, about: what waits there by this edge's doing, and the way to it."""
+        boot = self.board.boot
+        site = target.origin.site
+        way = 0.0 if site == boot.site else OTHER_SITE
+        if self.region_of(site) != (self.region_of(boot.site) or boot.region):
+            way = OTHER_REGION
+        slots = max(1, target.origin.slots)
+        queued = max(0, len(target.started) + 1 - slots) / slots
+        busy = len(target.started) / slots
+        # A little luck, so that edges that know the same do not all choose the same.
+        return target.usual * (1 + queued + busy) * self.board.randomness.uniform(0.8, 1.25) + way
+
+    def may_send_cold(self, target: Target, upstream: routes.Upstream) -> bool:
+        now = self.board.clock.now()
+        if now - self.opened_at < SETTLING:
+            return False
+        boot = self.board.boot
+        allowed = upstream.cold_rate * boot.cold_factor + boot.cold_burst
+        places = parts.cold_places(boot.name, self.edges(), target.instance, allowed)
+        return target.sent_cold.count() < places
+
+    def enter(self, upstream: routes.Upstream) -> None:
+        """A place under this edge's part of the service's ceiling; OverCeiling where it is used up."""
+        if upstream.rate is None:
+            return
+        ceiling = self.ceilings.setdefault(upstream.name, parts.Ceiling(self.board.clock))
+        if not ceiling.take(upstream.rate / len(self.edges())):
+            raise errors.OverCeiling(f"{upstream.name} is at its ceiling", retry_after=0.2)
+
+    # -- probes --------------------------------------------------------------------------------------
+    async def run(self) -> None:
+        """Origins that are down are asked for their health; all others are known by their traffic."""
+        while True:
+            now = self.board.clock.now()
+            for target in list(self.all.values()):
+                wanted = target.is_down and now >= target.down_until
+                if wanted and not self.view.is_evacuated(target.origin.site) and not target.gone:
+                    target.down_until = now + PROBE_PATIENCE + BACKOFF_LIMIT
+                    self.board.start(self.probe(target), "probe")
+            await asyncio.sleep(0.1)
+
+    async def probe(self, target: Target) -> None:
+        upstream = self.table.upstreams.get(target.origin.service)
+        try:
+            async with asyncio.timeout(PROBE_PATIENCE):
+                line = await target.take(PROBE_PATIENCE)
+                host = f"{target.origin.host}:{target.origin.port}"
+                headers = [("host", host), (self.words.expected, target.instance)]
+                path = upstream.probe if upstream else "/health"
+                answer = await line.send("GET", path.encode(), headers, b"", "")
+            target.give_back(line)
+            named = answer.headers.get(self.words.instance)
+            if answer.status != 200 or (named and named != target.instance):
+                raise errors.NoOrigin(f"the probe was answered {answer.status} by {named}")
+        except FAILURES as error:
+            target.fail(repr(error))
+            return
+        target.is_down, target.backoff = False, BACKOFF
--- a/src/irisstand/noticeboard/views.py
+++ b/src/irisstand/noticeboard/views.py
@@ -28,6 +28,7 @@
     site: str
     state: str
     warmup: float
+    slots: int = 0
 
 
 class Views:
@@ -94,7 +95,7 @@
         return [
             Origin(
                 item.key, item.value["service"], item.value["host"], item.value["port"], item.value["site"],
-                item.value["state"], item.value["warmup"],
+                item.value["state"], item.value["warmup"], item.value.get("slots", 0),
             )
             for item in self.board.ledger.under("origin/")
         ]  # fmt: skip
--- /dev/null
+++ b/src/irisstand/shortlist/parts.py
@@ -0,0 +1,68 @@
+"""Bounds over the whole fleet, split over the edges that reach origins: each keeps to its part by itself.
+
+Nobody counts for all: the parts are even, and add up to less than the bound, so that a member more or less on one
+edge's list does no harm.
+"""
+
+import collections
+import math
+
+from irisstand import clocks
+from irisstand.shortlist import draws
+
+# Of a bound over all: the rest is for lists that differ and for requests that do not travel equally long.
+PRUDENCE = 0.85
+SECOND = 1.1
+# Seconds of a ceiling that may be used at once.
+BURST = 0.35
+
+
+def cold_places(own: str, edges: list[str], origin: str, allowed: float) -> int:
+    """How many requests this edge may send to a cold origin in a second, if all may send `allowed`.
+
+    Where it is less than one for each, the first edges in an order of the origin's own may send one.
+
+    >>> sum(cold_places(edge, ["a", "b", "c"], "o", 2.5) for edge in "abc")
+    2
+    >>> cold_places("a", ["a", "b", "c"], "o", 10)
+    2
+    """
+    whole = math.floor(allowed * PRUDENCE)
+    each, left = divmod(whole, len(edges))
+    if each:
+        return each
+    return 1 if own in draws.order(origin, [(edge, 1.0) for edge in edges])[:left] else 0
+
+
+class Window:
+    """How much was sent in the last second."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.clock = clock
+        self.moments: collections.deque[float] = collections.deque()
+
+    def count(self) -> int:
+        while self.moments and self.moments[0] <= self.clock.now() - SECOND:
+            self.moments.popleft()
+        return len(self.moments)
+
+    def note(self) -> None:
+        self.moments.append(self.clock.now())
+
+
+class Ceiling:
+    """A part of a rate over all, with a burst so short that no window of five seconds goes over."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.clock, self.at = clock, clock.now()
+        self.tokens: float | None = None
+
+    def take(self, rate: float) -> bool:
+        now = self.clock.now()
+        most = max(1.0, rate * BURST)
+        grown = most if self.tokens is None else self.tokens + rate * (now - self.at)
+        self.tokens, self.at = min(most, grown), now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
--- a/src/irisstand/web.py
+++ b/src/irisstand/web.py
@@ -43,7 +43,7 @@
             {
                 "MOTD": False, "ACCESS_LOG": False, "REQUEST_MAX_SIZE": BODY_LIMIT,
                 "KEEP_ALIVE_TIMEOUT": 30, "RESPONSE_TIMEOUT": 70, "REQUEST_TIMEOUT": 30,
-                "FALLBACK_ERROR_FORMAT": "json",
+                "FALLBACK_ERROR_FORMAT": "json", "TOUCHUP": False,
             }
         )  # fmt: skip
         self.server: typing.Any = None
