--- a/src/irisstand/vetting/versioned.py
+++ b/src/irisstand/vetting/versioned.py
@@ -107,10 +107,23 @@
         check("limits", limits, fault)
         if not faults:
             entries.append((LIMITS, {"version": limits["version"], "item": limits}))
-    keys = [key for key, _ in entries]
-    for key in sorted({key for key in keys if keys.count(key) > 1}):
-        fault(key, "name", "named twice in one call; keep one")
-    return entries, faults
+    return unique(entries, fault), faults
+
+
+def unique(entries: list[Entry], fault: typing.Callable[[str, str, str], None]) -> list[Entry]:
+    """Each item once, in its highest version; two contents under one version are a fault.
+
+    >>> unique([("route/a", {"version": 3, "item": None}), ("route/a", {"version": 3, "item": None})], print)
+    [('route/a', {'version': 3, 'item': None})]
+    """
+    found: dict[str, dict[str, typing.Any]] = {}
+    for key, value in entries:
+        known = found.get(key)
+        if known is not None and known["version"] == value["version"] and known != value:
+            fault(key, "version", "two contents under one version in one call; keep one")
+        if known is None or known["version"] < value["version"]:
+            found[key] = value
+    return list(found.items())
 
 
 def is_version(item: dict) -> bool:
