Faster starts, tables through outages, connections closed in order, revalidated objects

Full outages of the core left edges refusing after 1.5 s: they go on for stretch_max while nobody knows a newer table. Objects past their life are revalidated by their ETag.

--- a/src/irisstand/agency/amending.py
+++ b/src/irisstand/agency/amending.py
@@ -5,7 +5,7 @@
 
 from irisstand import errors
 from irisstand.agency import overlay as overlays
-from irisstand.ledger import tables
+from irisstand.ledger import tables, versions
 from irisstand.vetting import versioned
 
 
@@ -51,7 +51,7 @@
         name: [item.value["item"] for item in copy.under(f"{kind}/") if item.value["item"] is not None]
         for kind, name in versioned.LISTS.items()
     }
-    limits = copy.value(versioned.LIMITS)
+    limits = copy.value(versions.LIMITS)
     if limits is not None:
         found["limits"] = limits["item"]
     return found
--- a/src/irisstand/agency/watch.py
+++ b/src/irisstand/agency/watch.py
@@ -2,14 +2,14 @@
 
 import collections
 import collections.abc
+import functools
+import importlib
 import json
 import typing
 
-import aiohttp
-import jsonschema
-
 from irisstand import blackboard, errors, ring
 from irisstand.agency import duties
+from irisstand.vetting import validating
 
 ORIGIN = {
     "type": "object",
@@ -25,16 +25,14 @@
         "slots": {"type": "integer", "minimum": 0},
     },
 }
-ANSWER = jsonschema.Draft202012Validator(
-    {
-        "type": "object",
-        "required": ["origins"],
-        "properties": {
-            "origins": {"type": "array", "items": ORIGIN},
-            "revision": {"type": "integer", "minimum": 0},
-        },
-    }
-)
+ANSWER = {
+    "type": "object",
+    "required": ["origins"],
+    "properties": {
+        "origins": {"type": "array", "items": ORIGIN},
+        "revision": {"type": "integer", "minimum": 0},
+    },
+}
 # An answer older than this is recorded as lagging; so many failures in a row, as silence.
 LAG_LIMIT = 10.0
 SILENT_AFTER = 5
@@ -51,21 +49,37 @@
     age: float
 
 
+# Raises an IrisError, an OSError, a ValueError or a TimeoutError where the platform gives no list.
 Ask = collections.abc.Callable[[], collections.abc.Awaitable[Heard]]
 
 
-def http_ask(address: tuple[str, int]) -> Ask:
-    """Ask the platform over HTTP, each time on a connection of its own."""
+@functools.cache
+def validator() -> typing.Any:
+    return validating.compiled(ANSWER)
 
-    async def ask() -> Heard:
-        timeout = aiohttp.ClientTimeout(total=2.0)
-        connector = aiohttp.TCPConnector(force_close=True)
+
+async def fetch(url: str, patience: float = 2.0) -> tuple[bytes, typing.Any]:
+    """Body and headers of a 200, on a connection of its own; BadRequest for anything else."""
+    # Imported by the one node that asks: the others are back sooner without it after a kill.
+    aiohttp = importlib.import_module("aiohttp")
+    timeout, connector = aiohttp.ClientTimeout(total=patience), aiohttp.TCPConnector(force_close=True)
+    try:
         async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
-            async with session.get(f"http://{address[0]}:{address[1]}/origins") as response:
+            async with session.get(url) as response:
                 if response.status != 200:
                     raise errors.BadRequest(f"the platform answered {response.status}")
-                age = response.headers.get("Age", "0")
-                return Heard(await response.read(), float(age) if age.isdigit() else 0.0)
+                return await response.read(), response.headers
+    except aiohttp.ClientError as error:
+        raise errors.BadRequest(f"the platform cannot be asked: {error!r}") from None
+
+
+def http_ask(address: tuple[str, int]) -> Ask:
+    """Ask the platform over HTTP, each time on a connection of its own."""
+
+    async def ask() -> Heard:
+        content, headers = await fetch(f"http://{address[0]}:{address[1]}/origins")
+        age = headers.get("Age", "0")
+        return Heard(content, float(age) if age.isdigit() else 0.0)
 
     return ask
 
@@ -86,7 +100,7 @@
             rows = self.judge(await self.ask())
             self.failures = 0
             self.board.counters.add("platform_asked")
-        except (errors.IrisError, OSError, ValueError, TimeoutError, aiohttp.ClientError) as error:
+        except (errors.IrisError, OSError, ValueError, TimeoutError) as error:
             # The last good roster stays in force: a dead platform says nothing about its origins.
             self.failures += 1
             self.board.counters.add("platform_failed")
@@ -98,7 +112,7 @@
     def judge(self, heard: Heard) -> list[tuple[str, typing.Any]]:
         """The rows that the answer calls for. Old after new changes nothing; a sudden shrinking waits."""
         answer = json.loads(heard.content)
-        fault = next(ANSWER.iter_errors(answer), None)
+        fault = next(validator().iter_errors(answer), None)
         if fault is not None:
             raise errors.BadRequest(f"the platform's answer is malformed: {fault.message}")
         revision, known = answer.get("revision"), self.state().get("revision")
--- a/src/irisstand/blackboard.py
+++ b/src/irisstand/blackboard.py
@@ -38,9 +38,13 @@
         self.postroom.handlers["tips"] = self.on_tips
         self.joining = joining.Joining(self.detector, self.postroom, boot.seeds)
         # Leaving: readiness is off, but work is still taken. Draining: no new work either.
+        # In the last round of questions not one colleague, of the core or not, knew a table to be fresh.
+        self.core_is_out = False
         self.leaving = False
         self.draining = False
         self.under_way = 0
+        # Asked during a drain: whether somebody may still send this node work on a connection that is open.
+        self.held: collections.abc.Callable[[], bool] = lambda: False
         # In order of starting: a set of tasks has an order of its own in every run.
         self.tasks: dict[asyncio.Task, None] = {}
         self.crashed: asyncio.Future | None = None
@@ -63,10 +67,19 @@
     def ledger(self) -> tables.Copy:
         return self.copies[items.LEDGER]
 
-    def is_current(self, table: tables.Copy) -> bool:
+    def is_fresh(self, table: tables.Copy) -> bool:
+        """Confirmed within the bound, by whatever way."""
         age = table.age(self.clock.now())
         return age is not None and age <= self.boot.freshness_bound
 
+    def is_current(self, table: tables.Copy) -> bool:
+        """Fresh; or, where the settings allow it, older while the whole core is out."""
+        if self.is_fresh(table):
+            return True
+        age = table.age(self.clock.now())
+        longest = self.boot.freshness_bound + self.boot.outage_bound
+        return self.core_is_out and age is not None and age <= longest
+
     def is_evacuated(self, site: str) -> bool:
         return self.ledger.value(f"evacuated/{site}") is not None
 
@@ -131,7 +144,7 @@
         """No new work; what is under way gets its time; then goodbye."""
         self.draining = True
         end = self.clock.now() + self.boot.drain
-        while self.under_way and self.clock.now() < end:
+        while (self.held() or self.under_way) and self.clock.now() < end:
             if self.clock.now() >= end - LAST_MOMENT and not self.closing.done():
                 self.closing.set_result(None)
             await asyncio.sleep(0.02)
--- a/src/irisstand/boot.py
+++ b/src/irisstand/boot.py
@@ -45,6 +45,7 @@
     second_allowance: float = 20.0
     cold_burst: float = 5.0
     cold_factor: float = 1.5
+    outage_bound: float = 0.0
 
 
 def word(value: typing.Any) -> str:
@@ -177,6 +178,9 @@
     "second_share": (number_between(0, 1), "second tries allowed fleet-wide, as a share of first ones"),
     "second_allowance": (number_between(0, 1e6), "second tries allowed fleet-wide beside that, in 10 s"),
     "cold_burst": (number_between(0, 1e6), "requests that a cold origin may get in a second beside its rate"),
+    "outage_bound": (
+        number_between(0, 60), "seconds more for which a table is used while nobody at all knows a newer one",
+    ),
     "cold_factor": (number_between(0, 100), "how many times its rate a cold origin may get in a second"),
 }
 OPTIONAL = set(Boot._field_defaults)
--- a/src/irisstand/ledger/courier.py
+++ b/src/irisstand/ledger/courier.py
@@ -12,6 +12,8 @@
 PARTS_LIMIT = 1000
 # Seconds after which the next colleague is asked beside one that has not answered yet.
 STAGGER = 0.12
+# Seconds after which a round has found nobody.
+ROUND = 1.1
 
 
 class Courier:
@@ -87,7 +89,7 @@
                     age = None
             if age is not None and tip == copy.tip:
                 copy.vouch(sent - age)
-            all_current = all_current and board.is_current(copy)
+            all_current = all_current and board.is_fresh(copy)
         return all_current
 
     async def mend(self, address: network.Address, name: str, copy: tables.Copy) -> None:
@@ -143,6 +145,7 @@
         try:
             if await self.pull(address, name):
                 self.answered_last = (address, name)
+                self.board.core_is_out = False
                 return True
         except (errors.IrisError, ValueError, TypeError, KeyError, IndexError):
             self.board.counters.add("sync_failed")
@@ -151,6 +154,7 @@
     async def refresh(self) -> None:
         """One round of questions, each begun a little after the last, until one has been answered."""
         asking: set[asyncio.Task] = set()
+        started = self.board.clock.now()
         try:
             for address, name in self.sources():
                 asking.add(asyncio.get_running_loop().create_task(self.try_source(address, name)))
@@ -159,10 +163,15 @@
                 )
                 if any(task.result() for task in done):
                     return
-            while asking:
-                done, asking = await asyncio.wait(asking, return_when=asyncio.FIRST_COMPLETED)
+            while asking and self.board.clock.now() - started < ROUND:
+                left = max(0.0, started + ROUND - self.board.clock.now())
+                done, asking = await asyncio.wait(
+                    asking, timeout=left, return_when=asyncio.FIRST_COMPLETED
+                )
                 if any(task.result() for task in done):
                     return
+            # A round that was itself held up tells of this node, not of the others.
+            self.board.core_is_out = self.board.clock.now() - started < 2 * ROUND
         finally:
             for task in asking:
                 task.cancel()
--- a/src/irisstand/noticeboard/direct.py
+++ b/src/irisstand/noticeboard/direct.py
@@ -81,7 +81,6 @@
             if decisions.is_usable(found, place, self.view, floor, self.board.clock.now()):
                 self.board.counters.add("cache", at="edge", result="hit")
                 return self.give(request, found)
-            self.cache.drop(key)
         self.board.counters.add("cache", at="edge", result="miss")
         while True:
             left = deadline - self.board.clock.now()
@@ -105,9 +104,20 @@
     ) -> objects.Object:
         """The whole object, for all who ask for it or a part of it."""
         headers = [(n, v) for n, v in request.headers.items() if n not in HOP and n not in CONDITIONS]
+        # What has outlived its life, or was struck by a purge, may still be the newest there is: then only
+        # a word of that comes back, and no bytes.
+        known = self.cache.get(key)
+        known_tag = dict(known.headers).get("etag") if known is not None else None
+        if known_tag:
+            headers.append(("if-none-match", known_tag))
         tip, asked_at = self.board.ledger.tip, self.board.clock.now()
         with self.board.working():
             answer = await self.converse(route, service, request, headers, remaining)
+        if answer.status == 304 and known_tag:
+            self.board.counters.add("cache", at="edge", result="revalidated")
+            same = known._replace(tip=tip, age=0.0, at=asked_at, life=route.cache_life)
+            self.cache.put(key, same)
+            return same
         kept = tuple((n, v) for n, v in answer.headers.items() if n != self.words.request_id)
         tags = vocabularies.split_tags(self.words, answer.headers.get(self.words.tags, ""))
         shared = answer.status == 200 and "set-cookie" not in answer.headers
@@ -181,7 +191,12 @@
         tried.add(target.instance)
         if target.is_cold():
             target.sent_cold.note()
-        task = asyncio.get_running_loop().create_task(self.attempt(target, request, headers, decision))
+        # An object is asked for a second time as this node's own reading of it, under no consumer's id: an
+        # origin that failed under an id would fail under it again.
+        anonymous = decision.sent > 0 and route.is_cacheable and request.method == "GET"
+        task = asyncio.get_running_loop().create_task(
+            self.attempt(target, request, headers, decision, anonymous)
+        )
         # An attempt that nobody waits for any more goes on: its origin is at work on it.
         self.attempts.add(task)
         task.add_done_callback(self.attempts.discard)
@@ -190,7 +205,7 @@
 
     async def attempt(
         self, target: targets.Target, request: Request, headers: list[tuple[str, str]],
-        decision: trying.Trying,
+        decision: trying.Trying, anonymous: bool,
     ) -> tuple:  # fmt: skip
         """One try at one origin: ("answer", ...) or ("failed", error, instance, touched, arrived)."""
         number, answered = target.begin(), False
@@ -198,9 +213,10 @@
         try:
             line = await target.take(max(0.01, decision.remaining()))
             left = max(1, int(decision.remaining() * 1000))
-            sent = [("host", request.host), *((n, v) for n, v in headers if n != self.words.remaining)]
+            left_out = (self.words.remaining, self.words.request_id if anonymous else "")
+            sent = [("host", request.host), *((n, v) for n, v in headers if n not in left_out)]
             sent += [(self.words.remaining, str(left)), (self.words.expected, target.instance)]
-            request_id = request.headers.get(self.words.request_id, "")
+            request_id = "" if anonymous else request.headers.get(self.words.request_id, "")
             # The decision has its own deadline; this one is for what goes on after it.
             async with asyncio.timeout(decision.remaining() + 1.0):
                 answer = await line.send(request.method, request.target, sent, request.body, request_id)
@@ -243,3 +259,5 @@
     return exchange.connector(vocabularies.REGISTRY[boot.vocabulary].request_id)
 
 
+def part(board: blackboard.Board, view: views.Views, connect: typing.Any) -> Direct:
+    return Direct(board, view, connect or connector(board.boot))
--- a/src/irisstand/noticeboard/edge.py
+++ b/src/irisstand/noticeboard/edge.py
@@ -204,3 +204,7 @@
 
     def request_id(self) -> str:
         return f"{self.board.boot.name}-{self.board.randomness.getrandbits(64):016x}"
+
+
+def part(board: blackboard.Board, view: views.Views, connect: typing.Any) -> Edge:
+    return Edge(board, view)
--- a/src/irisstand/noticeboard/exchange.py
+++ b/src/irisstand/noticeboard/exchange.py
@@ -121,7 +121,7 @@
             return
         found = self.headers.get(self.id_header)
         # A late answer to an earlier request in the place of this one's: the right one comes behind it.
-        if found is not None and self.request_id and found != self.request_id:
+        if found is not None and found != self.request_id:
             self.surplus += 1
             if self.surplus > SURPLUS_LIMIT:
                 raise ValueError("too many answers to other requests")
--- a/src/irisstand/noticeboard/frontage.py
+++ b/src/irisstand/noticeboard/frontage.py
@@ -60,7 +60,18 @@
     async def stop_listening(self) -> None:
         if self.server is not None:
             self.server.close()
-            self.server = None
+            self.board.held = self.release
+
+    def release(self) -> bool:
+        """Close connections on which nothing is read or asked; True while any is left.
+
+        A node that ended with one open could read a request in its last moment, and leave it unanswered.
+        """
+        connections = self.server.connections
+        for connection in list(connections):
+            if not connection.recv_buffer:
+                connection.close_if_idle()
+        return bool(connections)
 
     async def serve(
         self, request: sanic.request.Request, rest: str = ""
--- a/src/irisstand/noticeboard/routes.py
+++ b/src/irisstand/noticeboard/routes.py
@@ -3,9 +3,8 @@
 import typing
 
 from irisstand import blackboard, errors
-from irisstand.ledger import serials
+from irisstand.ledger import serials, versions
 from irisstand.shortlist import draws
-from irisstand.vetting import versioned
 
 ATTEMPTS = 2
 
@@ -79,7 +78,7 @@
             if item.value["item"] is not None:
                 upstream = as_upstream(item.value["item"])
                 self.upstreams[upstream.name] = upstream
-        stored = copy.value(versioned.LIMITS)
+        stored = copy.value(versions.LIMITS)
         fields = (stored or {}).get("item") or {}
         self.limits = Limits(**{name: fields[name] for name in Limits._fields if name in fields})
 
@@ -113,7 +112,7 @@
     return Route(
         item["name"], item["prefix"], item["kind"], float(item["timeout"]), float(target),
         item.get("priority") or 0, item.get("attempts") or ATTEMPTS, float(item.get("cache_life") or 0),
-        tuple(item.get("regions") or ()), tuple(versioned.splits(item)),
+        tuple(item.get("regions") or ()), tuple(versions.splits(item)),
     )  # fmt: skip
 
 
--- a/src/irisstand/noticeboard/shield.py
+++ b/src/irisstand/noticeboard/shield.py
@@ -245,3 +245,7 @@
                 raise errors.OverCeiling(f"{granted.service} is at its ceiling")
             await asyncio.sleep(0.01)
         return share, self.board.clock.now()
+
+
+def part(board: blackboard.Board, view: views.Views, connect: typing.Any) -> Shield:
+    return Shield(board, view, connect or lines.open_http)
--- a/src/irisstand/noticeboard/store.py
+++ b/src/irisstand/noticeboard/store.py
@@ -1,5 +1,7 @@
 """The store: the shared cache in memory that shields look into before they ask an origin."""
 
+import typing
+
 from irisstand import blackboard
 from irisstand.ledger import serials
 from irisstand.noticeboard import cache, decisions, objects, views
@@ -35,3 +37,7 @@
         if known is None or known.tip <= thing.tip:
             self.cache.put(str(key), thing)
         return ()
+
+
+def part(board: blackboard.Board, view: views.Views, connect: typing.Any) -> Store:
+    return Store(board, view)
--- a/src/irisstand/vetting/schema.py
+++ b/src/irisstand/vetting/schema.py
@@ -3,7 +3,7 @@
 import functools
 import typing
 
-import jsonschema
+from irisstand.vetting import validating
 
 NAME = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$"
 PATH = r"^/[!-~]{0,255}$"
@@ -72,13 +72,13 @@
 
 
 @functools.cache
-def validator(kind: str) -> jsonschema.Draft202012Validator:
-    return jsonschema.Draft202012Validator(REGISTRY[kind][1])
+def validator(kind: str) -> typing.Any:
+    return validating.compiled(REGISTRY[kind][1])
 
 
 @functools.cache
-def name_validator(kind: str) -> jsonschema.Draft202012Validator:
-    return jsonschema.Draft202012Validator({"type": "string", "pattern": REGISTRY[kind][0]})
+def name_validator(kind: str) -> typing.Any:
+    return validating.compiled({"type": "string", "pattern": REGISTRY[kind][0]})
 
 
 def faults(kind: typing.Any, name: typing.Any, value: typing.Any) -> list[tuple[str, str]]:
--- a/src/irisstand/vetting/versioned.py
+++ b/src/irisstand/vetting/versioned.py
@@ -9,7 +9,8 @@
 import functools
 import typing
 
-import jsonschema
+from irisstand.ledger import versions
+from irisstand.vetting import validating
 
 SECONDS = {"type": "number", "minimum": 0, "maximum": 86400}
 RATE = {"type": ["number", "null"], "exclusiveMinimum": 0}
@@ -63,13 +64,12 @@
 }  # fmt: skip
 # The list in a call's body for each kind; limits are one item without a name.
 LISTS = {"route": "routes", "upstream": "upstreams"}
-LIMITS = "limits/all"
 Entry = tuple[str, dict[str, typing.Any]]
 
 
 @functools.cache
-def validator(kind: str) -> jsonschema.Draft202012Validator:
-    return jsonschema.Draft202012Validator(SCHEMAS[kind])
+def validator(kind: str) -> typing.Any:
+    return validating.compiled(SCHEMAS[kind])
 
 
 def read(body: typing.Any) -> tuple[list[Entry], list[dict[str, str]]]:
@@ -109,7 +109,7 @@
     if limits is not None:
         check("limits", limits, fault)
         if not faults:
-            entries.append((LIMITS, {"version": limits["version"], "item": limits}))
+            entries.append((versions.LIMITS, {"version": limits["version"], "item": limits}))
     return unique(entries, fault), faults
 
 
@@ -148,13 +148,6 @@
         fault(name, ".".join(str(part) for part in error.absolute_path), error.message[:300])
 
 
-def splits(route: dict) -> list[tuple[str, float]]:
-    """The services of a route with their weights: its split, or its one service."""
-    if route.get("split"):
-        return [(part["service"], part["weight"]) for part in route["split"]]
-    return [(route["service"], 1.0)] if route.get("service") else []
-
-
 def faults_of(standing: dict[str, dict]) -> list[dict[str, str]]:
     """What is wrong with the whole table as it would stand: `standing` is stored values by key."""
     found: list[dict[str, str]] = []
@@ -163,7 +156,7 @@
         route = value["item"]
         if route is None or not key.startswith("route/"):
             continue
-        parts = splits(route)
+        parts = versions.splits(route)
         for service, _ in parts:
             known = standing.get(f"upstream/{service}")
             if known is None or known["item"] is None:
