--- a/src/irisstand/ledger/courier.py
+++ b/src/irisstand/ledger/courier.py
@@ -14,6 +14,8 @@
 STAGGER = 0.12
 # Seconds after which a round has found nobody.
 ROUND = 1.1
+# Seconds between rounds while a table is not fresh.
+STARTING = 0.06
 
 
 class Courier:
@@ -181,7 +183,11 @@
         while True:
             started = board.clock.now()
             await self.refresh()
-            pause = board.boot.freshness_interval - (board.clock.now() - started)
+            interval = board.boot.freshness_interval
+            # A node that cannot serve yet asks at once again: the core may be back at this moment.
+            if not all(map(board.is_fresh, board.copies.values())):
+                interval = min(interval, STARTING)
+            pause = interval - (board.clock.now() - started)
             await asyncio.sleep(max(0.01, pause))
 
 
--- a/src/irisstand/noticeboard/trying.py
+++ b/src/irisstand/noticeboard/trying.py
@@ -61,19 +61,24 @@
         self.running += 1
         if self.sent < self.route.attempts:
             self.hedge_at = self.clock.now() + max(HEDGE_USUAL * usual, HEDGE_TARGET * self.route.target)
+        elif self.fault is not None:
+            # An answer is there already, if not a good one: the second is not waited for to the end.
+            self.hedge_at = self.clock.now() + HEDGE_USUAL * usual + self.route.target
         else:
             self.hedge_at = None
         return self.wait()
 
     def wait(self) -> Action:
         if self.remaining() <= 0:
-            return ("reject", errors.DeadlinePassed("no origin gave a whole answer in time"))
+            return self.over(errors.DeadlinePassed("no origin gave a whole answer in time"))
         until = self.deadline if self.hedge_at is None else min(self.hedge_at, self.deadline)
         return ("wait", max(0.0, until - self.clock.now()))
 
     def on_silent(self) -> Action:
         if self.hedge_at is not None and self.clock.now() >= self.hedge_at:
             self.hedge_at = None
+            if self.fault is not None:
+                return ("answer", self.fault)
             if self.may_send_more():
                 return ("send",)
         return self.wait()
--- a/src/irisstand/rollcall/joining.py
+++ b/src/irisstand/rollcall/joining.py
@@ -8,6 +8,8 @@
 from irisstand.rollcall import updates
 
 COMPARE_PERIODS = 10
+# Seconds between rounds of the seeds while nobody at all is known.
+FIRST_PAUSE = 0.08
 
 
 class Joining:
@@ -49,19 +51,33 @@
         while True:
             period = self.detector.tuning.period
             members = list(self.detector.roster.members.values())
-            for seed in self.seeds if not members else []:
-                try:
-                    await self.compare(seed, "", whole=True)
-                except (errors.IrisError, ValueError, TypeError):
-                    continue
+            if not members:
+                await self.ask_seeds()
             if self.detector.roster.members or not self.seeds:
                 self.joined.set()
             if not members:
-                await asyncio.sleep(period)
+                # All may have been started at this moment: whoever is first up should not wait for long.
+                await asyncio.sleep(FIRST_PAUSE if not self.detector.roster.members else period)
                 continue
             await asyncio.sleep(COMPARE_PERIODS * period)
             await self.compare_once(members)
 
+    async def ask_seeds(self) -> None:
+        """All seeds at once, until one has answered: one without power answers nothing at all."""
+        loop = asyncio.get_running_loop()
+        asking = {loop.create_task(self.compare(seed, "", whole=True)): None for seed in self.seeds}
+        left = set(asking)
+        try:
+            while left and not self.detector.roster.members:
+                done, left = await asyncio.wait(left, return_when=asyncio.FIRST_COMPLETED)
+                for task in done:
+                    error = task.exception()
+                    if error is not None and not isinstance(error, (errors.IrisError, ValueError, TypeError)):
+                        raise error
+        finally:
+            for task in left:
+                task.cancel()
+
     async def compare_once(self, members: list[updates.Update]) -> None:
         # Seeds are asked now and then whatever their state: after a split nobody else would be.
         seed = self.detector.randomness.choice(self.seeds) if self.seeds else None
