Holders of objects on the shield machines: each object comes to a site once

Edges ask the holder that a key draws in their site; parts of a ceiling follow the edges that a holder serves. Weighed: holders for a region (bytes between zones), the existing shields (their shares are by ledger rows and all origins' traffic).

--- a/src/irisstand/boot.py
+++ b/src/irisstand/boot.py
@@ -93,8 +93,8 @@
 
 
 def role(value: typing.Any) -> str:
-    if value not in ("edge", "shield", "store", "direct", "agency"):
-        raise ValueError("give edge, shield, store or direct")
+    if value not in ("edge", "shield", "store", "direct", "holder", "agency"):
+        raise ValueError("give edge, shield, store, direct or holder")
     return value
 
 
@@ -150,7 +150,7 @@
     "port": (number_between(1, 65535, int), "the port for colleagues, TCP and UDP"),
     "http_port": (number_between(1, 65535, int), "the port for HTTP"),
     "seeds": (addresses, "up to three addresses of other processes, with commas between"),
-    "role": (role, "edge, shield, store or direct"),
+    "role": (role, "edge, shield, store, direct or holder"),
     "data": (str, "the data folder (agency only)"),
     "founding": (number_between(1, 99, int), "how many cores found the network together (agency only)"),
     "platform": (address, "the platform's address (agency only)"),
@@ -219,7 +219,7 @@
         if key not in given:
             faults.append(f"{key}: nothing is set; give {REGISTRY[key][1]}")
     if program != "agency" and checked.get("role") == "agency":
-        remedy = "give edge, shield, store or direct, or start irisstand-agency"
+        remedy = "give edge, shield, store, direct or holder, or start irisstand-agency"
         faults.append(f"role: 'agency' does not do; {remedy}")
     if checked.get("role") == "direct" and "front" not in checked:
         faults.append("front: nothing is set; give where consumers are served, as in 10.0.0.1:8080")
--- a/src/irisstand/noticeboard/assembly.py
+++ b/src/irisstand/noticeboard/assembly.py
@@ -17,6 +17,7 @@
     "shield": "irisstand.noticeboard.shield",
     "store": "irisstand.noticeboard.store",
     "direct": "irisstand.noticeboard.direct",
+    "holder": "irisstand.noticeboard.direct",
 }
 
 
--- /dev/null
+++ b/src/irisstand/noticeboard/holders.py
@@ -0,0 +1,112 @@
+"""Which node holds an object: the holders of a site fetch for its edges, so that it comes there once.
+
+An edge asks the holder that the object's key draws among those of its own site. Whoever does not answer in
+time is left alone for a while, and the edge fetches by itself.
+"""
+
+import asyncio
+import typing
+
+from irisstand import blackboard, errors
+from irisstand.ledger import serials
+from irisstand.noticeboard import conversing, objects, reading, routes
+from irisstand.shortlist import draws
+
+# Of the time that is left, what a holder gets, and the most in seconds: an origin may be asked after it.
+PART, LONGEST = 0.4, 0.6
+# Seconds for which a holder that did not answer is left alone.
+AVOIDED = 2.0
+# Seconds that a holder waits for the version of the blueprint by which an edge has judged.
+CATCH_UP = 0.3
+# Edges in a route's own regions that must be up before holders elsewhere take its objects: with fewer,
+# consumers of those regions may be served here, and then only the edge that they talk to may have the body.
+HOME_EDGES = 8
+
+class Holders:
+    def __init__(self, board: blackboard.Board, table: routes.Routes) -> None:
+        self.board, self.table = board, table
+        self.avoided: dict[str, float] = {}
+        self.reading: reading.Reading | None = None
+
+    # -- asking --------------------------------------------------------------------------------------
+    def pick(self, route: routes.Route, key: str) -> typing.Any:
+        """The member that holds the object, or None where this node should fetch it by itself."""
+        board, now = self.board, self.board.clock.now()
+        if board.role == "holder" or not self.may_hold(route):
+            return None
+        found = {
+            update.identity.name: update
+            for update in board.colleagues("holder")
+            if update.card.site == board.boot.site and not update.state
+            and now >= self.avoided.get(update.identity.name, 0.0)
+        }  # fmt: skip
+        names = draws.order(key, [(name, 1.0) for name in found])
+        return found[names[0]] if names else None
+
+    def may_hold(self, route: routes.Route) -> bool:
+        """Whether holders here may have the route's objects at all."""
+        if not route.regions or self.board.boot.region in route.regions:
+            return True
+        edges = [update for update in self.board.colleagues("direct") if not update.state]
+        return sum(update.card.region in route.regions for update in edges) >= HOME_EDGES
+
+    async def ask(
+        self, asked: reading.Asked, floor: serials.Serial, remaining: float, known: objects.Object | None
+    ) -> objects.Object | None:
+        holder = self.pick(asked.route, asked.key)
+        if holder is None:
+            return None
+        request = asked.request
+        known_tag = reading.tag_of(known) or ""
+        asked_at = self.board.clock.now()
+        patience = min(LONGEST, PART * remaining)
+        body = (
+            asked.route.name, asked.service, request.host, request.target, tuple(request.headers.items()),
+            patience, tuple(floor), known_tag, tuple(self.board.blueprint.tip),
+        )  # fmt: skip
+        try:
+            told, parts = await self.board.postroom.ask(
+                holder.card.address, holder.identity.name, "object", body, patience
+            )
+        except errors.IrisError as error:
+            self.board.counters.add("holder_failures", code=error.code)
+            if error.code in ("unreached", "unanswered", "draining"):
+                self.avoided[holder.identity.name] = self.board.clock.now() + AVOIDED
+            # What the holder met at an origin this node may still avoid, within what is left of its time.
+            return None
+        if told == "same" and known is not None:
+            tip, age, life = parts
+            return known._replace(tip=serials.decode(tip), age=age, at=asked_at, life=life)
+        return objects.decode(parts, asked_at)
+
+    # -- answering -----------------------------------------------------------------------------------
+    def answer(self, own: reading.Reading) -> None:
+        """Answer edges out of this reading."""
+        self.reading = own
+        self.board.postroom.handlers["object"] = self.on_object
+
+    async def on_object(self, _: str, body: list) -> tuple:
+        name, service, host, target, headers, remaining, floor, known_tag, tip = body
+        if self.board.draining:
+            raise errors.Draining("this holder is shutting down")
+        request = conversing.Request("GET", bytes(target), str(host), dict(headers), b"")
+        await self.catch_up(serials.decode(tip))
+        route = self.table.match(request.host, request.path)
+        # Judged by another version than the edge's, its request could go where that one does not allow.
+        if route.name != name or not self.table.still_allows(route, service):
+            raise errors.StaleBlueprint("the route is another one here")
+        asked = reading.Asked(route, str(service), request, float(remaining))
+        thing = await self.reading.read(asked, serials.decode(floor))
+        now = self.board.clock.now()
+        if known_tag and thing.life > 0 and reading.tag_of(thing) == known_tag:
+            return ("same", (tuple(thing.tip), thing.age_now(now), thing.life))
+        return ("object", objects.encode(thing, now))
+
+    async def catch_up(self, tip: serials.Serial) -> None:
+        started = self.board.clock.now()
+        while self.board.blueprint.tip < tip:
+            if self.board.clock.now() - started > CATCH_UP:
+                raise errors.StaleBlueprint("this holder is behind the edge")
+            await asyncio.sleep(0.01)
+        if not all(map(self.board.is_current, self.board.copies.values())):
+            raise errors.StaleBlueprint("this holder's tables are not known to be current")
--- a/src/irisstand/noticeboard/routes.py
+++ b/src/irisstand/noticeboard/routes.py
@@ -61,6 +61,8 @@
         self.hosts: dict[str, list[Route]] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.limits = Limits()
+        # Services of which holders fetch objects.
+        self.held: set[str] = set()
 
     def refresh(self) -> None:
         copy = self.board.blueprint
@@ -72,8 +74,10 @@
             if item.value["item"] is not None:
                 route = as_route(item.value["item"])
                 self.hosts.setdefault(item.value["item"]["host"].lower(), []).append(route)
+        self.held = set()
         for routes in self.hosts.values():
             routes.sort(key=lambda route: -len(route.prefix))
+            self.held |= {name for route in routes if route.is_cacheable for name, _ in route.splits}
         for item in copy.under("upstream/"):
             if item.value["item"] is not None:
                 upstream = as_upstream(item.value["item"])
--- a/src/irisstand/noticeboard/shield.py
+++ b/src/irisstand/noticeboard/shield.py
@@ -27,8 +27,7 @@
         self.claims = claims.Claims(board)
         self.shares: dict[str, ceilings.Share] = {}
         self.opened_at = board.clock.now()
-        board.postroom.handlers["read"] = self.on_read
-        board.postroom.handlers["write"] = self.on_write
+        board.postroom.handlers.update({"read": self.on_read, "write": self.on_write})
 
     # -- reads ---------------------------------------------------------------------------------------
     async def on_read(self, _: str, body: list) -> tuple:
--- /dev/null
+++ b/src/irisstand/noticeboard/target.py
@@ -0,0 +1,95 @@
+"""One origin's instance as an edge reaches it: its connections, and what the traffic tells of it."""
+
+import asyncio
+
+from irisstand import blackboard, errors, ring
+from irisstand.noticeboard import exchange, views
+from irisstand.shortlist import parts
+
+CONNECT_PATIENCE = 0.4
+# Seconds until an origin that could not be reached is probed, doubled with each failure.
+BACKOFF, BACKOFF_LIMIT = 0.25, 2.0
+# Of the time that an answer took, how much the newest counts.
+NEWEST = 0.2
+FIRST_GUESS = 0.08
+# An origin that let a request wait for so many times its usual time is left alone while others answer.
+DOUBT = 4.0
+DOUBT_LEAST = 0.25
+
+
+class Target:
+    """One origin's instance: its health comes from requests, and from probes only while it gets none."""
+
+    def __init__(self, board: blackboard.Board, origin: views.Origin, connect: exchange.Connect) -> None:
+        self.board, self.origin, self.connect = board, origin, connect
+        self.idle: list[exchange.Exchange] = []
+        self.started: dict[int, float] = {}
+        self.number = 0
+        self.usual = FIRST_GUESS
+        self.down_until, self.backoff = 0.0, BACKOFF
+        self.full_until = 0.0
+        self.is_down, self.gone = False, False
+        self.cold_until = 0.0
+        self.sent_cold = parts.Window(board.clock)
+
+    @property
+    def instance(self) -> str:
+        return self.origin.key.removeprefix("origin/")
+
+    def begin(self) -> int:
+        self.number += 1
+        self.started[self.number] = self.board.clock.now()
+        return self.number
+
+    def finish(self, number: int, answered: bool) -> None:
+        took = self.board.clock.now() - self.started.pop(number)
+        if answered:
+            self.usual += NEWEST * (took - self.usual)
+            self.is_down, self.backoff = False, BACKOFF
+
+    def is_doubtful(self) -> bool:
+        oldest = min(self.started.values(), default=None)
+        limit = max(DOUBT_LEAST, DOUBT * self.usual)
+        return oldest is not None and self.board.clock.now() - oldest > limit
+
+    def is_cold(self) -> bool:
+        return self.origin.state == "cold" or self.board.clock.now() < self.cold_until
+
+    def lines(self) -> int:
+        return len(self.idle) + len(self.started)
+
+    async def take(self, patience: float) -> exchange.Exchange:
+        """A connection for one request. Its failure touches nothing, and marks the origin as down."""
+        while self.idle:
+            line = self.idle.pop()
+            if line.is_usable():
+                return line
+            line.close()
+        try:
+            async with asyncio.timeout(min(CONNECT_PATIENCE, patience)):
+                line = await self.connect(self.origin.host, self.origin.port)
+        except (OSError, TimeoutError) as error:
+            self.fail(repr(error))
+            raise errors.Unreached(f"the origin {self.instance} takes no connection") from None
+        self.board.counters.add("origin_connections", service=self.origin.service)
+        return line
+
+    def give_back(self, line: exchange.Exchange) -> None:
+        line.touched = False
+        if line.alive and not self.gone:
+            self.idle.append(line)
+        else:
+            line.close()
+
+    def fail(self, why: str) -> None:
+        if not self.is_down:
+            ring.note("origin-down", origin=self.instance, why=why)
+        self.is_down = True
+        self.down_until = self.board.clock.now() + self.backoff
+        self.backoff = min(BACKOFF_LIMIT, 2 * self.backoff)
+
+    def end(self) -> None:
+        self.gone = True
+        for line in self.idle:
+            line.close()
+        self.idle.clear()
--- a/src/irisstand/noticeboard/targets.py
+++ b/src/irisstand/noticeboard/targets.py
@@ -4,105 +4,19 @@
 import asyncio
 import typing
 
-from irisstand import blackboard, errors, ring
+from irisstand import blackboard, errors
 from irisstand.noticeboard import exchange, routes, views, vocabulary
+from irisstand.noticeboard import target as targeting
 from irisstand.shortlist import parts
 
-CONNECT_PATIENCE = 0.4
 PROBE_PATIENCE = 0.6
-# Seconds until an origin that could not be reached is probed, doubled with each failure.
-BACKOFF, BACKOFF_LIMIT = 0.25, 2.0
-# Of the time that an answer took, how much the newest counts.
-NEWEST = 0.2
-FIRST_GUESS = 0.08
 # What a request waits for at an origin that far from here, in seconds a request at rest.
 OTHER_SITE, OTHER_REGION = 0.010, 0.060
-# An origin that let a request wait for so many times its usual time is left alone while others answer.
-DOUBT = 4.0
-DOUBT_LEAST = 0.25
 # After a start, what the forerunner sent is not known: no cold origin gets anything.
 SETTLING = 3.0
 FAILURES = (OSError, TimeoutError, ValueError, errors.IrisError)
 
 
-class Target:
-    """One origin's instance: its health comes from requests, and from probes only while it gets none."""
-
-    def __init__(self, board: blackboard.Board, origin: views.Origin, connect: exchange.Connect) -> None:
-        self.board, self.origin, self.connect = board, origin, connect
-        self.idle: list[exchange.Exchange] = []
-        self.started: dict[int, float] = {}
-        self.number = 0
-        self.usual = FIRST_GUESS
-        self.down_until, self.backoff = 0.0, BACKOFF
-        self.full_until = 0.0
-        self.is_down, self.gone = False, False
-        self.cold_until = 0.0
-        self.sent_cold = parts.Window(board.clock)
-
-    @property
-    def instance(self) -> str:
-        return self.origin.key.removeprefix("origin/")
-
-    def begin(self) -> int:
-        self.number += 1
-        self.started[self.number] = self.board.clock.now()
-        return self.number
-
-    def finish(self, number: int, answered: bool) -> None:
-        took = self.board.clock.now() - self.started.pop(number)
-        if answered:
-            self.usual += NEWEST * (took - self.usual)
-            self.is_down, self.backoff = False, BACKOFF
-
-    def is_doubtful(self) -> bool:
-        oldest = min(self.started.values(), default=None)
-        limit = max(DOUBT_LEAST, DOUBT * self.usual)
-        return oldest is not None and self.board.clock.now() - oldest > limit
-
-    def is_cold(self) -> bool:
-        return self.origin.state == "cold" or self.board.clock.now() < self.cold_until
-
-    def lines(self) -> int:
-        return len(self.idle) + len(self.started)
-
-    async def take(self, patience: float) -> exchange.Exchange:
-        """A connection for one request. Its failure touches nothing, and marks the origin as down."""
-        while self.idle:
-            line = self.idle.pop()
-            if line.is_usable():
-                return line
-            line.close()
-        try:
-            async with asyncio.timeout(min(CONNECT_PATIENCE, patience)):
-                line = await self.connect(self.origin.host, self.origin.port)
-        except (OSError, TimeoutError) as error:
-            self.fail(repr(error))
-            raise errors.Unreached(f"the origin {self.instance} takes no connection") from None
-        self.board.counters.add("origin_connections", service=self.origin.service)
-        return line
-
-    def give_back(self, line: exchange.Exchange) -> None:
-        line.touched = False
-        if line.alive and not self.gone:
-            self.idle.append(line)
-        else:
-            line.close()
-
-    def fail(self, why: str) -> None:
-        if not self.is_down:
-            ring.note("origin-down", origin=self.instance, why=why)
-        self.is_down = True
-        self.down_until = self.board.clock.now() + self.backoff
-        self.backoff = min(BACKOFF_LIMIT, 2 * self.backoff)
-
-    def end(self) -> None:
-        self.gone = True
-        for line in self.idle:
-            line.close()
-        self.idle.clear()
-
-
 class Targets:
     """Follows the roster in the ledger, draws by the route's rules, and probes what is down."""
 
@@ -111,10 +25,10 @@
         connect: exchange.Connect,
     ) -> None:  # fmt: skip
         self.board, self.view, self.table, self.words, self.connect = board, view, table, words, connect
-        self.all: dict[str, Target] = {}
+        self.all: dict[str, targeting.Target] = {}
         self.evacuated: set[str] = set()
         self.opened_at = board.clock.now()
-        self.edges_at, self.edge_names = -1e9, [board.boot.name]
+        self.members_at, self.known_members = -1e9, []
         self.ceilings: dict[str, parts.Ceiling] = {}
         self.site_regions: dict[str, str] = {}
         board.ledger.watchers.append(self.follow)
@@ -131,7 +45,7 @@
                 continue
             if known is not None:
                 known.end()
-            self.all[key] = Target(self.board, origin, self.connect)
+            self.all[key] = targeting.Target(self.board, origin, self.connect)
         self.follow_evacuations()
 
     def follow_evacuations(self) -> None:
@@ -151,12 +65,18 @@
         self.evacuated = current
 
     def edges(self) -> list[str]:
-        """Names of all edges, this one among them; the list is read again now and then."""
-        now = self.board.clock.now()
-        if now - self.edges_at > 0.5:
-            names = {update.identity.name for update in self.board.colleagues(self.board.role)}
-            self.edge_names, self.edges_at = sorted(names | {self.board.boot.name}), now
-        return self.edge_names
+        """Names of all nodes that reach origins, this one among them."""
+        return [member.name for member in self.members()]
+
+    def members(self) -> list[parts.Member]:
+        """All nodes that reach origins; the list is read again now and then."""
+        now, boot = self.board.clock.now(), self.board.boot
+        if now - self.members_at > 0.5:
+            found = [*self.board.colleagues("direct"), *self.board.colleagues("holder")]
+            named = {u.identity.name: parts.Member(u.identity.name, u.card.role, u.card.site) for u in found}
+            named[boot.name] = parts.Member(boot.name, self.board.role, boot.site)
+            self.known_members, self.members_at = sorted(named.values()), now
+        return self.known_members
 
     def region_of(self, site: str) -> str:
         if site not in self.site_regions:
@@ -164,7 +84,7 @@
         return self.site_regions.get(site, "")
 
     # -- the draw ------------------------------------------------------------------------------------
-    def draw(self, route: routes.Route, upstream: routes.Upstream, tried: typing.Container[str]) -> Target:
+    def draw(self, route: routes.Route, upstream: routes.Upstream, tried: typing.Container[str]) -> targeting.Target:
         """The origin that should answer soonest, of those the rules allow now; NoOrigin, WarmingUp or
         OverCeiling."""
         now = self.board.clock.now()
@@ -190,7 +110,7 @@
             raise errors.WarmingUp(f"the origins of {upstream.name} are warming up", retry_after=0.4)
         return min(found, key=self.cost)
 
-    def cost(self, target: Target) -> float:
+    def cost(self, target: targeting.Target) -> float:
         """Seconds until its answer, about: what waits there by this edge's doing, and the way to it."""
         boot = self.board.boot
         site = target.origin.site
@@ -203,7 +123,7 @@
         # A little luck, so that edges that know the same do not all choose the same.
         return target.usual * (1 + queued + busy) * self.board.randomness.uniform(0.8, 1.25) + way
 
-    def may_send_cold(self, target: Target, upstream: routes.Upstream) -> bool:
+    def may_send_cold(self, target: targeting.Target, upstream: routes.Upstream) -> bool:
         now = self.board.clock.now()
         if now - self.opened_at < SETTLING:
             return False
@@ -217,7 +137,8 @@
         if upstream.rate is None:
             return
         ceiling = self.ceilings.setdefault(upstream.name, parts.Ceiling(self.board.clock))
-        if not ceiling.take(upstream.rate / len(self.edges())):
+        part = parts.ceiling_part(self.board.boot.name, self.members(), upstream.name in self.table.held)
+        if not ceiling.take(upstream.rate * part):
             raise errors.OverCeiling(f"{upstream.name} is at its ceiling", retry_after=0.2)
 
     # -- probes --------------------------------------------------------------------------------------
@@ -228,11 +149,11 @@
             for target in list(self.all.values()):
                 wanted = target.is_down and now >= target.down_until
                 if wanted and not self.view.is_evacuated(target.origin.site) and not target.gone:
-                    target.down_until = now + PROBE_PATIENCE + BACKOFF_LIMIT
+                    target.down_until = now + PROBE_PATIENCE + targeting.BACKOFF_LIMIT
                     self.board.start(self.probe(target), "probe")
             await asyncio.sleep(0.1)
 
-    async def probe(self, target: Target) -> None:
+    async def probe(self, target: targeting.Target) -> None:
         upstream = self.table.upstreams.get(target.origin.service)
         try:
             async with asyncio.timeout(PROBE_PATIENCE):
@@ -248,4 +169,4 @@
         except FAILURES as error:
             target.fail(repr(error))
             return
-        target.is_down, target.backoff = False, BACKOFF
+        target.is_down, target.backoff = False, targeting.BACKOFF
--- a/src/irisstand/shortlist/parts.py
+++ b/src/irisstand/shortlist/parts.py
@@ -7,17 +7,47 @@
 
 import collections
 import math
+import typing
 
 from irisstand import clocks
 from irisstand.shortlist import draws
 
 # Of a bound over all: the rest is for lists that differ and for requests that do not travel equally long.
 PRUDENCE = 0.85
+# Of a site's part, what its holders have where there are any; the rest is for edges that cannot ask them.
+HELD = 0.8
 SECOND = 1.1
 # Seconds of a ceiling that may be used at once.
 BURST = 0.35
 
 
+class Member(typing.NamedTuple):
+    """A node that reaches origins: an edge (`direct`), or a `holder`, which fetches for the edges of its site."""
+
+    name: str
+    role: str
+    site: str
+
+
+def ceiling_part(own: str, members: list[Member], is_held: bool) -> float:
+    """This node's part of a service's rate. What is held is fetched by holders, for their site's edges.
+
+    >>> listed = (("a", "direct", "n"), ("b", "direct", "s"), ("h", "holder", "n"))
+    >>> members = [Member(*entry) for entry in listed]
+    >>> [round(ceiling_part(name, members, True), 2) for name in "abh"]
+    [0.1, 0.5, 0.4]
+    >>> [round(ceiling_part(name, members, False), 2) for name in "abh"]
+    [0.5, 0.5, 0.0]
+    """
+    edges = [member for member in members if member.role != "holder"]
+    mine = next(member for member in members if member.name == own)
+    holders = sum(m.role == "holder" and m.site == mine.site for m in members)
+    served = sum(member.site == mine.site for member in edges)
+    if mine.role == "holder":
+        return HELD * served / len(edges) / holders if edges and is_held else 0.0
+    return (1.0 - HELD if holders and is_held else 1.0) / len(edges)
+
+
 def cold_places(own: str, edges: list[str], origin: str, allowed: float) -> int:
     """How many requests this edge may send to a cold origin in a second, if all may send `allowed`.
 
--- a/tests/test_deployed.py
+++ b/tests/test_deployed.py
@@ -146,4 +146,5 @@
     names = {path.stem for path in files}
     own = {path.stem for path in (deployed.ROOT / "src").rglob("*.py")}
     assert "__init__" not in names and not names & (set(sys.stdlib_module_names) | own)
-    assert all(pathlib.Path(deployed.ROOT / "deploy" / name).is_file() for name in ("system.toml", "wire.toml"))
+    deploy = pathlib.Path(deployed.ROOT / "deploy")
+    assert (deploy / "system.toml").is_file() and (deploy / "wire.toml").is_file()
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -103,9 +103,9 @@
         started = asyncio.get_running_loop().time()
         answer = await stage.ask("/reads/1")
         took = asyncio.get_running_loop().time() - started
-        left = len(stage.part.attempts)
+        left = len(stage.part.origins.attempts)
         await asyncio.sleep(2)
-        return answer.body, took, left, len(stage.part.attempts)
+        return answer.body, took, left, len(stage.part.origins.attempts)
 
     body, took, left, in_the_end = play(scene)
     assert body == b"soon" and took < 0.5 and (left, in_the_end) == (1, 0)
