--- a/src/irisstand/noticeboard/holders.py
+++ b/src/irisstand/noticeboard/holders.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
-import typing
+import collections.abc
 
 from irisstand import blackboard, errors
 from irisstand.ledger import serials
 from irisstand.noticeboard import conversing, objects, reading, routes
+from irisstand.rollcall import updates
 from irisstand.shortlist import draws
 
 # Of the time that is left, what a holder gets, and the most in seconds: an origin may be asked after it.
@@ -23,25 +24,46 @@
 HOME_EDGES = 8
 
 class Holders:
-    def __init__(self, board: blackboard.Board, table: routes.Routes) -> None:
-        self.board, self.table = board, table
+    """`is_scarce` tells whether this node's part of a service's rate is all but used up."""
+
+    def __init__(
+        self, board: blackboard.Board, table: routes.Routes, is_scarce: collections.abc.Callable[[str], bool]
+    ) -> None:
+        self.board, self.table, self.is_scarce = board, table, is_scarce
         self.avoided: dict[str, float] = {}
         self.reading: reading.Reading | None = None
 
     # -- asking --------------------------------------------------------------------------------------
-    def pick(self, route: routes.Route, key: str) -> typing.Any:
+    def pick(self, route: routes.Route, service: str, key: str) -> updates.Update | None:
         """The member that holds the object, or None where this node should fetch it by itself."""
-        board, now = self.board, self.board.clock.now()
-        if board.role == "holder" or not self.may_hold(route):
+        board = self.board
+        if board.role != "holder":
+            near = [update for update in self.usable() if update.card.site == board.boot.site]
+            return self.draw(key, near) if self.may_hold(route) else None
+        # A holder fetches by itself while the service has room: that is the shorter way. Where its rate is
+        # scarce, each object is fetched by one holder of all, and the others have it from there.
+        if not self.is_scarce(service):
             return None
-        found = {
-            update.identity.name: update
-            for update in board.colleagues("holder")
-            if update.card.site == board.boot.site and not update.state
-            and now >= self.avoided.get(update.identity.name, 0.0)
-        }  # fmt: skip
-        names = draws.order(key, [(name, 1.0) for name in found])
-        return found[names[0]] if names else None
+        everywhere = not route.regions
+        home = [update for update in self.usable() if everywhere or update.card.region in route.regions]
+        names = [(update.identity.name, 1.0) for update in home]
+        if everywhere or board.boot.region in route.regions:
+            names.append((board.boot.name, 1.0))
+        order = draws.order(key, names)
+        return next((u for u in home if u.identity.name == order[0]), None) if order else None
+
+    def usable(self) -> list[updates.Update]:
+        now = self.board.clock.now()
+        return [
+            update
+            for update in self.board.colleagues("holder")
+            if not update.state and now >= self.avoided.get(update.identity.name, 0.0)
+        ]
+
+    def draw(self, key: str, found: list[updates.Update]) -> updates.Update | None:
+        named = {update.identity.name: update for update in found}
+        names = draws.order(key, [(name, 1.0) for name in named])
+        return named[names[0]] if names else None
 
     def may_hold(self, route: routes.Route) -> bool:
         """Whether holders here may have the route's objects at all."""
@@ -53,7 +75,8 @@
     async def ask(
         self, asked: reading.Asked, floor: serials.Serial, remaining: float, known: objects.Object | None
     ) -> objects.Object | None:
-        holder = self.pick(asked.route, asked.key)
+        # Whoever was asked by another holder is the last in the row.
+        holder = None if asked.is_last else self.pick(asked.route, asked.service, asked.key)
         if holder is None:
             return None
         request = asked.request
@@ -63,6 +86,7 @@
         body = (
             asked.route.name, asked.service, request.host, request.target, tuple(request.headers.items()),
             patience, tuple(floor), known_tag, tuple(self.board.blueprint.tip),
+            self.board.role == "holder",
         )  # fmt: skip
         try:
             told, parts = await self.board.postroom.ask(
@@ -86,7 +110,7 @@
         self.board.postroom.handlers["object"] = self.on_object
 
     async def on_object(self, _: str, body: list) -> tuple:
-        name, service, host, target, headers, remaining, floor, known_tag, tip = body
+        name, service, host, target, headers, remaining, floor, known_tag, tip, is_last = body
         if self.board.draining:
             raise errors.Draining("this holder is shutting down")
         request = conversing.Request("GET", bytes(target), str(host), dict(headers), b"")
@@ -95,7 +119,7 @@
         # Judged by another version than the edge's, its request could go where that one does not allow.
         if route.name != name or not self.table.still_allows(route, service):
             raise errors.StaleBlueprint("the route is another one here")
-        asked = reading.Asked(route, str(service), request, float(remaining))
+        asked = reading.Asked(route, str(service), request, float(remaining), bool(is_last))
         thing = await self.reading.read(asked, serials.decode(floor))
         now = self.board.clock.now()
         if known_tag and thing.life > 0 and reading.tag_of(thing) == known_tag:
--- a/src/irisstand/noticeboard/reading.py
+++ b/src/irisstand/noticeboard/reading.py
@@ -16,12 +16,16 @@
 
 
 class Asked(typing.NamedTuple):
-    """One reading of one object. `service` is the one that the route gave; `remaining` in seconds."""
+    """One reading of one object. `service` is the one that the route gave; `remaining` in seconds.
+
+    `is_last` is set where another holder asks: nobody else is asked then but an origin.
+    """
 
     route: routes.Route
     service: str
     request: conversing.Request
     remaining: float
+    is_last: bool = False
 
     @property
     def key(self) -> str:
@@ -57,7 +61,8 @@
         while True:
             left = deadline - self.board.clock.now()
             obtain = self.collapse.share(
-                (asked.key, floor), lambda left=left, floor=floor: self.obtain(asked, floor, left)
+                (asked.key, floor, asked.is_last),
+                lambda left=left, floor=floor: self.obtain(asked, floor, left),
             )
             try:
                 async with asyncio.timeout(max(0.01, left)):
--- a/src/irisstand/noticeboard/targets.py
+++ b/src/irisstand/noticeboard/targets.py
@@ -29,6 +29,9 @@
         self.evacuated: set[str] = set()
         self.opened_at = board.clock.now()
         self.members_at, self.known_members = -1e9, []
+        # Connections by origin, worked out anew when the members change.
+        self.most_members: list[parts.Member] = []
+        self.most_known: dict[tuple, int] = {}
         self.ceilings: dict[str, parts.Ceiling] = {}
         self.site_regions: dict[str, str] = {}
         board.ledger.watchers.append(self.follow)
@@ -75,7 +78,9 @@
             found = [*self.board.colleagues("direct"), *self.board.colleagues("holder")]
             named = {u.identity.name: parts.Member(u.identity.name, u.card.role, u.card.site) for u in found}
             named[boot.name] = parts.Member(boot.name, self.board.role, boot.site)
-            self.known_members, self.members_at = sorted(named.values()), now
+            self.members_at = now
+            if sorted(named.values()) != self.known_members:
+                self.known_members = sorted(named.values())
         return self.known_members
 
     def region_of(self, site: str) -> str:
@@ -100,8 +105,7 @@
         up = [target for target in listed if not target.is_down]
         if not up:
             raise errors.NoOrigin(f"no origin of {upstream.name} is usable just now", retry_after=0.3)
-        most = max(2, int(parts.PRUDENCE * upstream.connections / len(self.edges())))
-        free = [t for t in up if len(t.started) < most and now >= t.full_until]
+        free = [t for t in up if len(t.started) < self.most(t, upstream) and now >= t.full_until]
         if not free:
             raise errors.OverCeiling(f"every origin of {upstream.name} is full", retry_after=0.1)
         # Cold ones only while no other is left, and no more than their part.
@@ -112,6 +116,18 @@
             raise errors.WarmingUp(f"the origins of {upstream.name} are warming up", retry_after=0.4)
         return min(found, key=self.cost)
 
+    def most(self, target: targeting.Target, upstream: routes.Upstream) -> int:
+        """How many connections this node may have to the origin."""
+        members = self.members()
+        is_held = upstream.name in self.table.held
+        key = (target.instance, upstream.connections, is_held)
+        if self.most_members is not members:
+            self.most_members, self.most_known = members, {}
+        if key not in self.most_known:
+            own = self.board.boot.name
+            self.most_known[key] = parts.connections(own, members, target.instance, key[1], is_held)
+        return self.most_known[key]
+
     def cost(self, target: targeting.Target) -> float:
         """Seconds until its answer, about: what waits there by this edge's doing, and the way to it."""
         boot = self.board.boot
@@ -148,6 +164,11 @@
             raise errors.OverCeiling(f"{upstream.name} is at its ceiling", retry_after=0.2)
         return wait
 
+    def is_scarce(self, service: str) -> bool:
+        """Whether this node's part of the service's rate was all but used up in the last seconds."""
+        ceiling = self.ceilings.get(service)
+        return ceiling is not None and ceiling.is_scarce()
+
     # -- probes --------------------------------------------------------------------------------------
     async def run(self) -> None:
         """Origins that are down are asked for their health; all others are known by their traffic."""
--- a/src/irisstand/shortlist/parts.py
+++ b/src/irisstand/shortlist/parts.py
@@ -16,9 +16,13 @@
 PRUDENCE = 0.85
 # Of a site's part, what its holders have where there are any; the rest is for edges that cannot ask them.
 HELD = 0.9
+# And of an origin's connections. Fewer than two are not worth having: one is busy while the next is needed.
+HELD_CONNECTIONS, FEWEST = 0.86, 2
 SECOND = 1.1
 # Seconds of a ceiling that may be used at once.
 BURST = 0.35
+# Below this part of the burst a rate is scarce, and counts as such for some seconds.
+SCARCE, SCARCE_FOR = 0.3, 6.0
 
 
 class Member(typing.NamedTuple):
@@ -48,6 +52,34 @@
     return (1.0 - HELD if holders and is_held else 1.0) / len(edges)
 
 
+def connections(own: str, members: list[Member], origin: str, limit: int, is_held: bool) -> int:
+    """How many connections this node may have to an origin that accepts `limit` from all; 0 for none.
+
+    What is held belongs mostly to the holders. Where there are too few for all, an order of the origin's own
+    says who has some, so that each node has some to some origins.
+
+    >>> listed = [Member(f"e{number}", "direct", "n") for number in range(8)] + [Member("h", "holder", "n")]
+    >>> connections("e1", listed, "o", 100, False), connections("h", listed, "o", 100, True)
+    (10, 73)
+    >>> sum(connections(member.name, listed, "o", 10, False) for member in listed)
+    8
+    """
+    holders = [member.name for member in members if member.role == "holder"]
+    edges = [member.name for member in members if member.role != "holder"]
+    total = math.floor(limit * PRUDENCE)
+    group = holders if own in holders else edges
+    if holders and is_held:
+        kept = math.floor(total * HELD_CONNECTIONS)
+        total = kept if own in holders else total - kept
+    elif own in holders:
+        return 0
+    each = total // len(group)
+    if each >= FEWEST:
+        return each
+    first = draws.order(origin, [(name, 1.0) for name in group])[: max(1, total // FEWEST)]
+    return FEWEST if own in first else 0
+
+
 def cold_places(own: str, edges: list[str], origin: str, allowed: float) -> int:
     """How many requests this edge may send to a cold origin in a second, if all may send `allowed`.
 
@@ -87,6 +119,10 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self.clock, self.at = clock, clock.now()
         self.tokens: float | None = None
+        self.scarce_at = -1e9
+
+    def is_scarce(self) -> bool:
+        return self.clock.now() - self.scarce_at < SCARCE_FOR
 
     def take(self, rate: float, patience: float = 0.0) -> float | None:
         """Seconds until a request may leave, which then has its place; None if that is over `patience`."""
@@ -98,6 +134,8 @@
         self.tokens, self.at = min(most, grown), now
         # What is borrowed from the next moments is waited for.
         wait = max(0.0, (1.0 - self.tokens) / rate)
+        if self.tokens < SCARCE * most:
+            self.scarce_at = now
         if wait > patience:
             return None
         self.tokens -= 1.0
