--- a/src/irisstand/boot.py
+++ b/src/irisstand/boot.py
@@ -46,6 +46,7 @@
     cold_burst: float = 5.0
     cold_factor: float = 1.5
     outage_bound: float = 0.0
+    holder_edges: float = 5.0
 
 
 def word(value: typing.Any) -> str:
@@ -178,6 +179,7 @@
     "second_share": (number_between(0, 1), "second tries allowed fleet-wide, as a share of first ones"),
     "second_allowance": (number_between(0, 1e6), "second tries allowed fleet-wide beside that, in 10 s"),
     "cold_burst": (number_between(0, 1e6), "requests that a cold origin may get in a second beside its rate"),
+    "holder_edges": (number_between(0, 1e6), "edges a site, on average, from which on holders fetch"),
     "outage_bound": (
         number_between(0, 60), "seconds more for which a table is used while nobody at all knows a newer one",
     ),
--- a/src/irisstand/commands.py
+++ b/src/irisstand/commands.py
@@ -139,6 +139,23 @@
     show(call(core, "DELETE", "/voters/" + urllib.parse.quote(name, safe="")))
 
 
+@main.command(help="Put and drop the versioned items in FILE (JSON: put, drop; lists by kind), whole or not.")
+@click.argument("file", type=click.File("rb"))
+@core_option
+def amend(file: typing.BinaryIO, core: str) -> None:
+    try:
+        content = json.load(file)
+    except ValueError as error:
+        raise click.ClickException(f"{file.name}: {error}; give whole JSON") from None
+    show(call(core, "POST", "/amendments", content))
+
+
+@main.command("items", help="Show all versioned items that stand, laid out as an amendment.")
+@core_option
+def show_items(core: str) -> None:
+    show(call(core, "GET", "/items"))
+
+
 @main.command(help="Purge cached objects by path or by tag.")
 @click.option("--path", "paths", multiple=True, help="a whole path; may be given again")
 @click.option("--tag", "tags", multiple=True, help="a tag; may be given again")
--- a/src/irisstand/noticeboard/direct.py
+++ b/src/irisstand/noticeboard/direct.py
@@ -26,7 +26,7 @@
         self.table = routes.Routes(board)
         self.targets = targets.Targets(board, view, self.table, self.words, connect)
         self.origins = conversing.Conversing(board, view, self.table, self.targets)
-        self.holders = holders.Holders(board, self.table, self.targets.is_scarce)
+        self.holders = holders.Holders(board, self.table, self.targets)
         self.reading = reading.Reading(board, view, self.origins, self.holders.ask)
         self.holders.answer(self.reading)
 
--- a/src/irisstand/noticeboard/holders.py
+++ b/src/irisstand/noticeboard/holders.py
@@ -5,11 +5,10 @@
 """
 
 import asyncio
-import collections.abc
 
 from irisstand import blackboard, errors
 from irisstand.ledger import serials
-from irisstand.noticeboard import conversing, objects, reading, routes
+from irisstand.noticeboard import conversing, objects, reading, routes, targets
 from irisstand.rollcall import updates
 from irisstand.shortlist import draws
 
@@ -19,30 +18,27 @@
 AVOIDED = 2.0
 # Seconds that a holder waits for the version of the blueprint by which an edge has judged.
 CATCH_UP = 0.3
-# Edges in a route's own regions that must be up before holders elsewhere take its objects: with fewer,
-# consumers of those regions may be served here, and then only the edge that they talk to may have the body.
-HOME_EDGES = 8
 
 class Holders:
-    """`is_scarce` tells whether this node's part of a service's rate is all but used up."""
-
     def __init__(
-        self, board: blackboard.Board, table: routes.Routes, is_scarce: collections.abc.Callable[[str], bool]
+        self, board: blackboard.Board, table: routes.Routes, origins: targets.Targets
     ) -> None:
-        self.board, self.table, self.is_scarce = board, table, is_scarce
-        self.avoided: dict[str, float] = {}
+        self.board, self.table, self.origins = board, table, origins
+        self.avoided = origins.avoided
         self.reading: reading.Reading | None = None
 
     # -- asking --------------------------------------------------------------------------------------
     def pick(self, route: routes.Route, service: str, key: str) -> updates.Update | None:
         """The member that holds the object, or None where this node should fetch it by itself."""
         board = self.board
+        if not self.origins.uses_holders():
+            return None
         if board.role != "holder":
             near = [update for update in self.usable() if update.card.site == board.boot.site]
-            return self.draw(key, near) if self.may_hold(route) else None
+            return self.draw(key, near) if self.origins.may_hold(route) else None
         # A holder fetches by itself while the service has room: that is the shorter way. Where its rate is
         # scarce, each object is fetched by one holder of all, and the others have it from there.
-        if not self.is_scarce(service):
+        if not self.origins.is_scarce(service):
             return None
         everywhere = not route.regions
         home = [update for update in self.usable() if everywhere or update.card.region in route.regions]
@@ -65,13 +61,6 @@
         names = draws.order(key, [(name, 1.0) for name in named])
         return named[names[0]] if names else None
 
-    def may_hold(self, route: routes.Route) -> bool:
-        """Whether holders here may have the route's objects at all."""
-        if not route.regions or self.board.boot.region in route.regions:
-            return True
-        edges = [update for update in self.board.colleagues("direct") if not update.state]
-        return sum(update.card.region in route.regions for update in edges) >= HOME_EDGES
-
     async def ask(
         self, asked: reading.Asked, floor: serials.Serial, remaining: float, known: objects.Object | None
     ) -> objects.Object | None:
--- a/src/irisstand/noticeboard/targets.py
+++ b/src/irisstand/noticeboard/targets.py
@@ -10,6 +10,9 @@
 from irisstand.shortlist import parts
 
 PROBE_PATIENCE = 0.6
+# Edges in a route's own regions that must be up before holders elsewhere take its objects: with fewer,
+# consumers of those regions may be served here, and then only the edge that they talk to may have the body.
+HOME_EDGES = 8
 # What a request waits for at an origin that far from here, in seconds a request at rest.
 OTHER_SITE, OTHER_REGION = 0.010, 0.060
 # After a start, what the forerunner sent is not known: no cold origin gets anything.
@@ -29,6 +32,8 @@
         self.evacuated: set[str] = set()
         self.opened_at = board.clock.now()
         self.members_at, self.known_members = -1e9, []
+        # Holders that did not answer, and until when they are left alone.
+        self.avoided: dict[str, float] = {}
         # Connections by origin, worked out anew when the members change.
         self.most_members: list[parts.Member] = []
         self.most_known: dict[tuple, int] = {}
@@ -75,7 +80,9 @@
         """All nodes that reach origins; the list is read again now and then."""
         now, boot = self.board.clock.now(), self.board.boot
         if now - self.members_at > 0.5:
-            found = [*self.board.colleagues("direct"), *self.board.colleagues("holder")]
+            # A suspected holder fetches nothing for anybody; a suspected edge may still serve its consumers.
+            holders = [update for update in self.board.colleagues("holder") if not update.state]
+            found = [*self.board.colleagues("direct"), *holders]
             named = {u.identity.name: parts.Member(u.identity.name, u.card.role, u.card.site) for u in found}
             named[boot.name] = parts.Member(boot.name, self.board.role, boot.site)
             self.members_at = now
@@ -119,7 +126,7 @@
     def most(self, target: targeting.Target, upstream: routes.Upstream) -> int:
         """How many connections this node may have to the origin."""
         members = self.members()
-        is_held = upstream.name in self.table.held
+        is_held = upstream.name in self.table.held and self.uses_holders()
         key = (target.instance, upstream.connections, is_held)
         if self.most_members is not members:
             self.most_members, self.most_known = members, {}
@@ -128,6 +135,29 @@
             self.most_known[key] = parts.connections(own, members, target.instance, key[1], is_held)
         return self.most_known[key]
 
+    def uses_holders(self) -> bool:
+        """A few edges that fetch for themselves cost a service little, and need nobody else to be up."""
+        edges = [member for member in self.members() if member.role != "holder"]
+        return len(edges) >= self.board.boot.holder_edges * len({member.site for member in edges})
+
+    def held_part(self, service: str) -> float:
+        """What holders fetch of a service's objects at this site; a route may keep its objects from them."""
+        if not self.uses_holders():
+            return 0.0
+        held = [route for routes in self.table.hosts.values() for route in routes if route.is_cacheable]
+        held = [route for route in held if any(name == service for name, _ in route.splits)]
+        if not held:
+            return 0.0
+        return parts.HELD if all(map(self.may_hold, held)) else parts.HELD_PARTLY
+
+    def may_hold(self, route: routes.Route) -> bool:
+        """Whether holders at this site may have the route's objects at all."""
+        own = self.region_of(self.board.boot.site) or self.board.boot.region
+        if not route.regions or own in route.regions:
+            return True
+        inside = sum(m.role != "holder" and self.region_of(m.site) in route.regions for m in self.members())
+        return inside >= HOME_EDGES
+
     def cost(self, target: targeting.Target) -> float:
         """Seconds until its answer, about: what waits there by this edge's doing, and the way to it."""
         boot = self.board.boot
@@ -158,7 +188,10 @@
         if upstream.rate is None:
             return 0.0
         ceiling = self.ceilings.setdefault(upstream.name, parts.Ceiling(self.board.clock))
-        part = parts.ceiling_part(self.board.boot.name, self.members(), upstream.name in self.table.held)
+        # A holder that did not answer this node fetches nothing for it.
+        now = self.board.clock.now()
+        present = [member for member in self.members() if now >= self.avoided.get(member.name, 0.0)]
+        part = parts.ceiling_part(self.board.boot.name, present, self.held_part(upstream.name))
         wait = ceiling.take(upstream.rate * part, patience)
         if wait is None:
             raise errors.OverCeiling(f"{upstream.name} is at its ceiling", retry_after=0.2)
--- /dev/null
+++ b/src/irisstand/rehearsal/sizes.py
@@ -0,0 +1,88 @@
+"""What rows, members and messages weigh, measured on the real code, for docs/CAPACITY.md."""
+
+import random
+import time
+import tracemalloc
+import typing
+
+from irisstand import clocks
+from irisstand import counters as counting
+from irisstand.ledger import items, serials, tables
+from irisstand.noticeboard import cache, objects
+from irisstand.postroom import codec
+from irisstand.rollcall import detector, updates
+from irisstand.shortlist import parts
+
+
+def card(number: int) -> updates.Update:
+    name = f"edge-zone-{number % 25}-{number}"
+    zone, region = f"zone-{number % 25}", f"region-{number % 10}"
+    place = updates.Card("direct", name, zone, region, "10.100.100.100", 7661, 8140)
+    return updates.Update(updates.State.ALIVE, updates.Identity(name, f"{number:016x}"), 0, place)
+
+
+def grown(make: typing.Callable[[int], object], count: int) -> float:
+    """Bytes of memory for each of `count` things that `make` keeps somewhere."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = [make(number) for number in range(count)]
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return (after - before) / len(kept)
+
+
+def member_bytes(members: int) -> float:
+    clock, counters = clocks.MonotonicClock(), counting.Counters()
+    found = detector.Detector("own", card(0).card, clock, random.Random(1), counters)
+    return grown(lambda number: found.learn(card(number + 1)), members)
+
+
+def row_bytes(prefix: str, value: typing.Any, rows: int) -> float:
+    copy = tables.Copy(items.LEDGER)
+    made = serials.Serial(1, "core-1~ab")
+    return grown(lambda n: copy.put(items.Item(f"{prefix}/{n:08d}", made, value)), rows)
+
+
+def object_bytes(body: int, count: int) -> float:
+    kept = cache.Cache(1 << 40)
+    head = (("etag", '"v1"'), ("content-type", "text/html"))
+
+    def put(number: int) -> None:
+        tip = serials.Serial(number, "n")
+        kept.put(f"s h/{number}", objects.Object(200, head, bytes(body), tip, 0.0, 0.0, 20.0, ("t",)))
+
+    return grown(put, count) - body
+
+
+def seconds(work: typing.Callable[[], object], times: int = 20) -> float:
+    """Processor seconds of one call."""
+    started = time.process_time()
+    for _ in range(times):
+        work()
+    return (time.process_time() - started) / times
+
+
+def measure() -> list[tuple[str, str, float]]:
+    """(what, unit, figure) for each size."""
+    tip = (123456, "core-region-1-zone-1-1~0123456789ab")
+    question = (("blueprint", tip, bytes(16)), ("ledger", tip, bytes(16)))
+    same = ((tip, 0.12, bytes(16), ("same",)),) * 2
+    purge = ("purge/path/host.example/objects/1234", tip, {"purge": "path"})
+    riding = tuple(updates.encode(card(number)) for number in range(6))
+    ping = ("ping", 123456, ("edge-zone-1-1", "0" * 16), ("edge-zone-2-2", "0" * 16), riding)
+    found: list[tuple[str, str, float]] = [
+        ("a question for two tables", "bytes", len(codec.pack(("ask", 1234, ("after", question))))),
+        ("its answer when nothing is new", "bytes", len(codec.pack(("result", 1234, same)))),
+        ("a purge on its way", "bytes", len(codec.pack(("result", 1, purge)))),
+        ("a ping with six updates", "bytes", len(codec.pack(ping))),
+        ("a ping with none", "bytes", len(codec.pack((*ping[:4], ())))),
+        ("an object in a cache, beside its body", "bytes", object_bytes(6000, 2000)),
+        ("a purge's row", "bytes", row_bytes("purge", {"purge": "path"}, 5000)),
+        ("an origin's row", "bytes", row_bytes("origin", dict.fromkeys("abcdefg", "x" * 12), 5000)),
+    ]
+    for members in (50, 200, 800, 2100):
+        found.append((f"a member, of {members}", "bytes", member_bytes(members)))
+        listed = [parts.Member(f"e{number}", "direct", f"z{number % 25}") for number in range(members)]
+        spent = seconds(lambda listed=listed: parts.connections("e1", listed, "o", 58, False))
+        found.append((f"an origin's connections split over {members}", "ms", spent * 1000))
+    return found
--- a/src/irisstand/rehearsing.py
+++ b/src/irisstand/rehearsing.py
@@ -74,5 +74,13 @@
         click.echo(line)
 
 
+@click.command(help="Measure what members, rows, objects and messages weigh, for docs/CAPACITY.md.")
+def sizes() -> None:
+    from irisstand.rehearsal import sizes as sizing
+
+    for what, unit, figure in sizing.measure():
+        click.echo(f"{what:<50} {figure:>12.4g} {unit}")
+
+
 # Plug-in point: a command of the rehearsal is an entry here.
-COMMANDS = [rehearse, stand_ins, simulate, storm, detection]
+COMMANDS = [rehearse, stand_ins, simulate, storm, detection, sizes]
--- a/src/irisstand/shortlist/parts.py
+++ b/src/irisstand/shortlist/parts.py
@@ -14,8 +14,9 @@
 
 # Of a bound over all: the rest is for lists that differ and for requests that do not travel equally long.
 PRUDENCE = 0.85
-# Of a site's part, what its holders have where there are any; the rest is for edges that cannot ask them.
-HELD = 0.9
+# Of a site's part, what its holders have where there are any: of objects that they may all hold, and where
+# some routes' objects go past them. The rest is for edges that cannot ask them.
+HELD, HELD_PARTLY = 0.9, 0.55
 # And of an origin's connections. Fewer than two are not worth having: one is busy while the next is needed.
 HELD_CONNECTIONS, FEWEST = 0.86, 2
 SECOND = 1.1
@@ -33,23 +34,26 @@
     site: str
 
 
-def ceiling_part(own: str, members: list[Member], is_held: bool) -> float:
-    """This node's part of a service's rate. What is held is fetched by holders, for their site's edges.
+def ceiling_part(own: str, members: list[Member], held: float) -> float:
+    """This node's part of a service's rate: sites count alike, as consumers live beside all of them.
 
-    >>> listed = (("a", "direct", "n"), ("b", "direct", "s"), ("h", "holder", "n"))
+    `held` is the part of it that a site's holders fetch, if the site has any; its edges have the rest.
+
+    >>> listed = (("a", "direct", "n"), ("b", "direct", "s"), ("c", "direct", "s"), ("h", "holder", "n"))
     >>> members = [Member(*entry) for entry in listed]
-    >>> [round(ceiling_part(name, members, True), 2) for name in "abh"]
-    [0.05, 0.5, 0.45]
-    >>> [round(ceiling_part(name, members, False), 2) for name in "abh"]
-    [0.5, 0.5, 0.0]
+    >>> [round(ceiling_part(name, members, 0.9), 2) for name in "abch"]
+    [0.05, 0.25, 0.25, 0.45]
+    >>> [round(ceiling_part(name, members, 0.0), 2) for name in "abch"]
+    [0.5, 0.25, 0.25, 0.0]
     """
     edges = [member for member in members if member.role != "holder"]
     mine = next(member for member in members if member.name == own)
-    holders = sum(m.role == "holder" and m.site == mine.site for m in members)
+    sites = {member.site for member in edges} | {mine.site}
+    holders = sum(member.role == "holder" and member.site == mine.site for member in members)
     served = sum(member.site == mine.site for member in edges)
     if mine.role == "holder":
-        return HELD * served / len(edges) / holders if edges and is_held else 0.0
-    return (1.0 - HELD if holders and is_held else 1.0) / len(edges)
+        return held / len(sites) / holders if served else 0.0
+    return (1.0 - held if holders else 1.0) / len(sites) / served
 
 
 def connections(own: str, members: list[Member], origin: str, limit: int, is_held: bool) -> int:
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -79,7 +79,6 @@
     error, stage = fails(scene, errors.IrisError)
     assert len(stage.sent) == 1 and error.status == 503
 
-
 # -- reads -------------------------------------------------------------------------------------------------
 @pytest.mark.parametrize("first", [BROKEN, FULL, whole("other"), whole("r1", content_digest=None)])
 def test_a_read_that_fails_is_answered_by_another_origin(first):
--- /dev/null
+++ b/tests/test_holders.py
@@ -0,0 +1,173 @@
+"""Holders of objects: what edges get from them, and what happens when they fail or know less."""
+
+import asyncio
+
+import pytest
+import scenes_direct
+from scenes_direct import whole
+
+import irisstand.errors as errors
+import irisstand.ledger.items as items
+import irisstand.rehearsal.virtual as virtual
+
+
+class Site:
+    """Edges and holders whose questions to one another go by hand; `silent` ones answer nothing."""
+
+    def __init__(self, edges=2, holders=1, **places):
+        self.nodes, self.silent, self.asked, self.replies = {}, set(), [], []
+        for role, count in (("direct", edges), ("holder", holders)):
+            for number in range(1, count + 1):
+                name = f"{'edge' if role == 'direct' else 'holder'}-{number}"
+                site = places.get(name.replace("-", "_"), "north")
+                boot = scenes_direct.BOOT._replace(
+                    name=name, role=role, site=site, region="two" if site == "east" else "one"
+                )
+                self.nodes[name] = scenes_direct.Scene(boot=boot)
+        for name, node in self.nodes.items():
+            for other in self.nodes.values():
+                if other is not node:
+                    boot = other.board.boot
+                    node.member(boot.name, boot.role, boot.site, boot.region)
+            node.board.postroom.ask = self.asker(name)
+
+    def asker(self, sender):
+        async def ask(address, name, kind, body, patience):
+            self.asked.append((sender, name))
+            if name in self.silent:
+                await asyncio.sleep(patience)
+                raise errors.Unanswered(name)
+            reply = await self.nodes[name].board.postroom.handlers[kind](sender, list(body))
+            self.replies.append(reply[0])
+            return reply
+
+        return ask
+
+    def sent(self):
+        return {name: len(node.sent) for name, node in self.nodes.items() if node.sent}
+
+    def put(self, table, key, value, *names):
+        for name in names or self.nodes:
+            self.nodes[name].put(table, key, value)
+
+
+def play(scene, **fields):
+    async def run():
+        return await scene(Site(**fields))
+
+    return virtual.run(run())
+
+
+def test_an_object_comes_to_a_site_once_and_from_then_on_out_of_each_edges_own_cache():
+    async def scene(site):
+        for number, name in enumerate(("edge-1", "edge-2", "edge-1")):
+            answer = await site.nodes[name].ask("/objects/1", request_id=f"r{number}")
+            assert answer.headers["x-request-id"] == f"r{number}" and answer.body == b"whole"
+        return site.sent(), site.asked
+
+    assert play(scene) == ({"holder-1": 1}, [("edge-1", "holder-1"), ("edge-2", "holder-1")])
+
+
+def test_what_is_no_object_never_goes_through_a_holder():
+    async def scene(site):
+        await site.nodes["edge-1"].ask("/reads/1")
+        await site.nodes["edge-1"].ask("/writes/1", "POST")
+        return site.asked
+
+    assert play(scene) == []
+
+
+def test_a_silent_holder_costs_one_wait_and_the_edge_fetches_by_itself():
+    async def scene(site):
+        site.silent = {"holder-1"}
+        took = []
+        for number in range(3):
+            started = asyncio.get_running_loop().time()
+            assert (await site.nodes["edge-1"].ask(f"/objects/{number}")).status == 200
+            took.append(asyncio.get_running_loop().time() - started)
+        return took, site.sent(), len(site.asked)
+
+    took, sent, asked = play(scene)
+    assert took[0] < 0.8 and max(took[1:]) < 0.1 and sent == {"edge-1": 3} and asked == 1
+
+
+def test_a_purge_that_only_the_edge_has_heard_of_counts_at_the_holder_too():
+    async def scene(site):
+        holder, edge = site.nodes["holder-1"], site.nodes["edge-1"]
+        holder.play = lambda key, headers, body: whole(headers["x-request-id"], b"n%d" % len(holder.sent))
+        first = (await site.nodes["edge-2"].ask("/objects/1")).body
+        site.put(items.LEDGER, "purge/path/h/objects/1", {"purge": "path"}, "edge-1")
+        assert holder.board.ledger.tip < edge.board.ledger.tip
+        return first, (await edge.ask("/objects/1")).body
+
+    assert play(scene) == (b"n1", b"n2")
+
+
+def test_a_holder_that_is_behind_the_edges_blueprint_is_not_believed():
+    async def scene(site):
+        # The edge's route goes to another service now; its holder still has the old one.
+        edge = site.nodes["edge-1"]
+        edge.put(items.BLUEPRINT, "upstream/t", {"version": 1, "item": {"name": "t", "version": 1}})
+        edge.origin("c", service="t")
+        edge.route("objects", kind="cacheable", service="t")
+        assert (await edge.ask("/objects/1")).status == 200
+        return site.sent(), edge.keys()
+
+    assert play(scene) == ({"edge-1": 1}, ["c"])
+
+
+def test_an_object_that_the_edge_still_has_comes_as_a_word_and_no_bytes():
+    async def scene(site):
+        holder = site.nodes["holder-1"]
+        holder.play = lambda key, headers, body: whole(headers["x-request-id"], etag='"1"')
+        for _ in range(2):
+            assert (await site.nodes["edge-1"].ask("/objects/1")).body == b"whole"
+            await asyncio.sleep(11)
+        return site.replies
+
+    assert play(scene) == ["object", "same"]
+
+
+@pytest.mark.parametrize(("edges", "asked"), [(3, 0), (9, 1)])
+def test_outside_a_routes_regions_a_holder_takes_part_only_while_many_edges_inside_are_up(edges, asked):
+    async def scene(site):
+        for node in site.nodes.values():
+            node.route("objects", kind="cacheable", regions=["one"])
+        answer = await site.nodes["edge-1"].ask("/objects/1")
+        return answer.status, len(site.asked)
+
+    assert play(scene, edges=edges, edge_1="east", holder_1="east") == (200, asked)
+
+
+def test_while_a_rate_is_scarce_one_holder_of_all_fetches_an_object_and_nobody_asks_in_a_ring():
+    async def scene(site):
+        for node in site.nodes.values():
+            node.put(items.BLUEPRINT, "upstream/s", {"version": 9, "item": {
+                "name": "s", "version": 9, "rate": 40.0, "connections": 50}})  # fmt: skip
+            node.part.targets.is_scarce = lambda service: True
+        for name in ("edge-1", "edge-2"):
+            for number in range(6):
+                assert (await site.nodes[name].ask(f"/objects/{number}")).status == 200
+        return site.sent()
+
+    sent = play(scene, holders=2, edge_2="south", holder_2="south")
+    assert sum(sent.values()) == 6 and set(sent) == {"holder-1", "holder-2"}
+
+
+def test_a_few_edges_fetch_for_themselves():
+    async def scene(site):
+        for node in site.nodes.values():
+            node.board.boot = node.board.boot._replace(holder_edges=3)
+        assert (await site.nodes["edge-1"].ask("/objects/1")).status == 200
+        return site.sent()
+
+    assert play(scene) == {"edge-1": 1}
+
+
+def test_a_draining_holder_takes_nothing_more():
+    async def scene(site):
+        site.nodes["holder-1"].board.draining = True
+        assert (await site.nodes["edge-1"].ask("/objects/1")).status == 200
+        return site.sent()
+
+    assert play(scene) == {"edge-1": 1}
