--- /dev/null
+++ b/tests/test_targets.py
@@ -0,0 +1,123 @@
+"""The draw among origins: what the rules keep out, and bounds over the whole fleet."""
+
+import asyncio
+
+import pytest
+import scenes_direct
+from scenes_direct import play, whole
+
+import irisstand.errors as errors
+import irisstand.ledger.items as items
+
+
+async def asks(stage, number, path="/reads/", pause=0.0):
+    """Statuses of so many requests, 503 for what was refused."""
+    found = []
+    for index in range(number):
+        try:
+            found.append((await stage.ask(f"{path}{index}", request_id=f"r{index}")).status)
+        except errors.IrisError as error:
+            found.append(error.status)
+        await asyncio.sleep(pause)
+    return found
+
+
+def test_a_route_goes_to_origins_of_its_own_regions_alone():
+    async def scene(stage):
+        stage.origin("c", site="east")
+        stage.route("reads", kind="idempotent", regions=["two"])
+        assert set(await asks(stage, 30)) == {200}
+        return set(stage.keys())
+
+    assert play(scene) == {"c"}
+
+
+@pytest.mark.parametrize("state", ["leaving", "gone"])
+def test_an_origin_that_leaves_gets_nothing_more(state):
+    async def scene(stage):
+        if state == "leaving":
+            stage.origin("a", state="leaving")
+        else:
+            stage.put(items.LEDGER, "origin/a", None)
+        assert set(await asks(stage, 30)) == {200}
+        return set(stage.keys())
+
+    assert play(scene) == {"b"}
+
+
+def test_an_evacuated_site_gets_nothing_and_its_origins_count_as_cold_when_it_is_taken_back():
+    async def scene(stage):
+        async def origin(headers):
+            await asyncio.sleep(0.08)
+            return whole(headers["x-request-id"])
+
+        stage.play = lambda key, headers, body: origin(headers)
+        stage.origin("a", site="south")
+        await asyncio.sleep(5)
+        stage.put(items.LEDGER, "evacuated/north", {"evacuated": True})
+        await asks(stage, 30)
+        assert set(stage.keys()) == {"a"}
+        stage.put(items.LEDGER, "evacuated/north", None)
+        await asks(stage, 30)
+        assert set(stage.keys()) == {"a"}
+        await asyncio.sleep(scenes_direct.BOOT.platform_lag + 3.1)
+        await asks(stage, 40)
+        return set(stage.keys())
+
+    assert play(scene) == {"a", "b"}
+
+
+@pytest.mark.parametrize("edges", [1, 4, 30])
+def test_where_all_are_cold_the_edges_together_send_no_more_than_a_cold_origin_bears(edges):
+    async def scene(stage):
+        stage.put(items.LEDGER, "origin/b", None)
+        stage.origin("a", state="cold", warmup=3)
+        await asyncio.sleep(5)
+        await asks(stage, 300, pause=0.01)
+        times = [sent[4] for sent in stage.sent]
+        return max(sum(start <= other < start + 1.0 for other in times) for start in times) if times else 0
+
+    boot = scenes_direct.BOOT
+    bound = scenes_direct.UPSTREAM["cold_rate"] * boot.cold_factor + boot.cold_burst
+    assert play(scene, edges=edges) * edges <= max(bound, edges)
+
+
+def test_a_service_gets_no_more_than_this_edges_part_of_its_rate_in_any_five_seconds():
+    async def scene(stage):
+        item = {**scenes_direct.UPSTREAM, "version": 9, "rate": 40.0}
+        stage.put(items.BLUEPRINT, "upstream/s", {"version": 9, "item": item})
+        crowd = [asks(stage, 200, f"/reads/{number}/", pause=0.05) for number in range(10)]
+        statuses = [status for found in await asyncio.gather(*crowd) for status in found]
+        times = [sent[4] for sent in stage.sent]
+        most = max(sum(start <= other < start + 5.0 for other in times) for start in times)
+        return most, set(statuses), len(times)
+
+    most, statuses, sent = play(scene, edges=2)
+    assert most <= 20 * 5 * 1.1 + 5 and statuses == {200, 503} and sent > 150
+
+
+def test_one_try_goes_to_no_more_origins_than_its_route_allows():
+    async def scene(stage):
+        stage.origin("c")
+        stage.play = lambda key, headers, body: whole(headers["x-request-id"], status=500)
+        await asks(stage, 3)
+        return max(sum(sent[3]["x-request-id"] == f"r{n}" for sent in stage.sent) for n in range(3))
+
+    assert play(scene) == 2
+
+
+def test_an_origin_that_takes_no_connection_is_left_alone_and_probed_until_it_does():
+    async def scene(stage):
+        stage.refused = {"a"}
+        running = asyncio.get_running_loop().create_task(stage.part.run())
+        stage.board.crashed = asyncio.get_running_loop().create_future()
+        assert set(await asks(stage, 20, pause=0.1)) == {200}
+        tried = stage.connections["a"]
+        stage.refused = set()
+        stage.play = lambda key, headers, body: whole(headers.get("x-request-id", ""), x_instance=key)
+        await asks(stage, 60, pause=0.1)
+        running.cancel()
+        return tried, "a" in stage.keys()
+
+    tried, is_back = play(scene)
+    assert 1 <= tried < 10 and is_back
