--- a/tests/test_deployed.py
+++ b/tests/test_deployed.py
@@ -108,6 +108,37 @@
     play(scene, tmp_path)
 
 
+def test_senseless_consumers_get_what_the_limits_say_and_the_node_goes_on(tmp_path):
+    async def raw(fleet, sent):
+        """The status line of what comes back on a connection of its own, or nothing."""
+        reader, writer = await asyncio.open_connection("127.0.7.4", fleet.ports[2])
+        writer.write(sent)
+        try:
+            async with asyncio.timeout(12):
+                return (await reader.read(100)).split(b"\r\n")[0]
+        finally:
+            writer.close()
+
+    async def scene(fleet):
+        head = f"Host: {deployed.HOST}\r\nAttempt-Id: r1\r\n".encode()
+        long = b"GET /reads/1 HTTP/1.1\r\n" + head + b"X-Long: " + b"x" * 9000 + b"\r\n\r\n"
+        large = b"POST /writes/1 HTTP/1.1\r\n" + head + b"Content-Length: 100001\r\n\r\n" + b"x" * 100001
+        short = b"POST /writes/1 HTTP/1.1\r\n" + head + b"Content-Length: 10\r\n\r\nshort"
+        assert b" 431 " in await raw(fleet, long)
+        assert b" 413 " in await raw(fleet, large)
+        assert b" 400 " in await raw(fleet, b"\x00\x01\x02 nonsense\r\n\r\n")
+        # A body that never comes whole is never sent on, and whoever says nothing is not kept.
+        reader, writer = await asyncio.open_connection("127.0.7.4", fleet.ports[2])
+        writer.write(short)
+        idle = await raw(fleet, b"")
+        assert not idle or b" 408 " in idle
+        writer.close()
+        assert not [run for run in fleet.runs("app") if run.method == "POST"]
+        assert (await fleet.ask("/reads/1"))[0] == 200 and fleet.processes["edge-1"].returncode is None
+
+    play(scene, tmp_path)
+
+
 @pytest.mark.parametrize("program", ["edge_node.py", "core_node.py"])
 @pytest.mark.parametrize(
     ("content", "named"),
