--- a/src/irisstand/noticeboard/frontage.py
+++ b/src/irisstand/noticeboard/frontage.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import sanic.exceptions
 import sanic.request
 import sanic.response
 
--- a/src/irisstand/noticeboard/routes.py
+++ b/src/irisstand/noticeboard/routes.py
@@ -61,8 +61,9 @@
         self.hosts: dict[str, list[Route]] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.limits = Limits()
-        # Services of which holders fetch objects.
-        self.held: set[str] = set()
+        self.by_name: dict[str, Route] = {}
+        # Services of which holders fetch objects, with the routes that these are on.
+        self.held: dict[str, list[Route]] = {}
 
     def refresh(self) -> None:
         copy = self.board.blueprint
@@ -74,10 +75,13 @@
             if item.value["item"] is not None:
                 route = as_route(item.value["item"])
                 self.hosts.setdefault(item.value["item"]["host"].lower(), []).append(route)
-        self.held = set()
+        self.by_name, self.held = {}, {}
         for routes in self.hosts.values():
             routes.sort(key=lambda route: -len(route.prefix))
-            self.held |= {name for route in routes if route.is_cacheable for name, _ in route.splits}
+            for route in routes:
+                self.by_name[route.name] = route
+                for name, _ in route.splits if route.is_cacheable else ():
+                    self.held.setdefault(name, []).append(route)
         for item in copy.under("upstream/"):
             if item.value["item"] is not None:
                 upstream = as_upstream(item.value["item"])
@@ -100,11 +104,8 @@
     def still_allows(self, route: Route, service: str) -> bool:
         """Whether the route as it stands now lets a request go to the service."""
         self.refresh()
-        for routes in self.hosts.values():
-            for now in routes:
-                if now.name == route.name:
-                    return any(name == service and weight > 0 for name, weight in now.splits)
-        return False
+        now = self.by_name.get(route.name)
+        return now is not None and any(name == service and weight > 0 for name, weight in now.splits)
 
 
 def as_route(item: dict[str, typing.Any]) -> Route:
--- a/src/irisstand/noticeboard/target.py
+++ b/src/irisstand/noticeboard/target.py
@@ -55,9 +55,6 @@
     def is_cold(self) -> bool:
         return self.origin.state == "cold" or self.board.clock.now() < self.cold_until
 
-    def lines(self) -> int:
-        return len(self.idle) + len(self.started)
-
     async def take(self, patience: float) -> exchange.Exchange:
         """A connection for one request. Its failure touches nothing, and marks the origin as down."""
         while self.idle:
--- a/src/irisstand/noticeboard/targets.py
+++ b/src/irisstand/noticeboard/targets.py
@@ -142,11 +142,8 @@
 
     def held_part(self, service: str) -> float:
         """What holders fetch of a service's objects at this site; a route may keep its objects from them."""
-        if not self.uses_holders():
-            return 0.0
-        held = [route for routes in self.table.hosts.values() for route in routes if route.is_cacheable]
-        held = [route for route in held if any(name == service for name, _ in route.splits)]
-        if not held:
+        held = self.table.held.get(service)
+        if not held or not self.uses_holders():
             return 0.0
         return parts.HELD if all(map(self.may_hold, held)) else parts.HELD_PARTLY
 
--- a/tests/test_deployed.py
+++ b/tests/test_deployed.py
@@ -86,8 +86,12 @@
 
         await fleet.until(is_back, 10)
         # Settings that change are taken up without an end; what cannot change is told.
-        fleet.processes["edge-1"].send_signal(signal.SIGHUP)
-        await asyncio.sleep(0.3)
+        settings = pathlib.Path(fleet.folder) / "edge-1.toml"
+        kept = settings.read_text()
+        for spoilt in ("internal_ports = 7\n", "ip = ", kept):
+            settings.write_text(spoilt)
+            fleet.processes["edge-1"].send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.3)
         assert fleet.processes["edge-1"].returncode is None and await fleet.ready() == 200
         # A planned end: readiness goes first, and what is under way gets its answer.
         for origin in fleet.origins:
