Sight: clients that leave, and answers that nobody takes, are counted; counters at the end

Change: counters clients_left and answers_without_client; a process that ends in order writes all its counters as one event, as they were lost with it. No logic of a request is changed.

--- a/src/irisstand/counters.py
+++ b/src/irisstand/counters.py
@@ -60,6 +60,10 @@
         """Return the sum over all labels."""
         return sum(value for (key, _), value in self.values.items() if key == name)
 
+    def by_text(self) -> dict[str, float]:
+        """Return all values by name and labels, as the text format writes these."""
+        return {_text_name(name, labels): value for (name, labels), value in sorted(self.values.items())}
+
     def text(self) -> str:
         """Return all values in the Prometheus text format, version 0.0.4."""
         lines: list[str] = []
@@ -68,11 +72,14 @@
             if name not in typed:
                 typed.add(name)
                 lines.append(f"# TYPE irisstand_{name} untyped")
-            joined = ",".join(f'{key}="{label}"' for key, label in labels)
-            suffix = "{" + joined + "}" if joined else ""
-            lines.append(f"irisstand_{name}{suffix} {value:g}")
+            lines.append(f"irisstand_{_text_name(name, labels)} {value:g}")
         return "\n".join(lines) + "\n"
 
 
 def _key(name: str, labels: dict[str, str]) -> Key:
     return (name, tuple(sorted(labels.items())))
+
+
+def _text_name(name: str, labels: tuple[tuple[str, str], ...]) -> str:
+    joined = ",".join(f'{key}="{label}"' for key, label in labels)
+    return f"{name}{{{joined}}}" if joined else name
--- a/src/irisstand/dataplane/http/listener.py
+++ b/src/irisstand/dataplane/http/listener.py
@@ -9,6 +9,7 @@
 import sanic.response
 
 from irisstand import errors, event_log, node_context, node_settings
+from irisstand.dataplane.http import client_departures
 from irisstand.dataplane.nodes import direct
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
@@ -165,8 +166,12 @@
         host = headers.pop("host", "")
         asked = direct.Request(request.method, request.raw_url, host, headers, body)
         task = asyncio.get_running_loop().create_task(self.answer(asked))
-        with self.context.count_in_flight():
-            response = await asyncio.shield(task)
+        with self.context.count_in_flight(), client_departures.counted(self.context.counters):
+            try:
+                response = await asyncio.shield(task)
+            except asyncio.CancelledError:
+                task.add_done_callback(lambda _: self.context.counters.add("answers_without_client"))
+                raise
         # A connection that is kept would bring more work to a node that is shutting down.
         if self.context.is_lame_duck or self.context.is_draining:
             typing.cast(typing.Any, request.stream).keep_alive = False
--- a/src/irisstand/dataplane/http/sanic_adapter.py
+++ b/src/irisstand/dataplane/http/sanic_adapter.py
@@ -6,6 +6,7 @@
 import sanic.response
 
 from irisstand import errors, web
+from irisstand.dataplane.http import client_departures
 from irisstand.dataplane.nodes import edge as edge_node
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
@@ -41,7 +42,8 @@
             request.method, request.path, request.query_string, headers, request.body or b""
         )
         try:
-            result = await self.edge.handle(asked)
+            with client_departures.counted(self.edge.context.counters):
+                result = await self.edge.handle(asked)
         except errors.IrisError as error:
             return web.error_response(error)
         response_headers = dict(result.headers)
--- a/src/irisstand/process_runner.py
+++ b/src/irisstand/process_runner.py
@@ -128,6 +128,8 @@
     if crashed.done():
         return _report_crash(crashed.exception(), log)
     await _shut_down(context, stop_listening)
+    # Counted since the start of this process, and lost with it.
+    event_log.record("counters", values=context.counters.by_text())
     log.write_out("SIGTERM")
     return EXIT_OK
 
