A request ends with its client: attempts are withdrawn, writes at an origin and keyed ones go on

Cause: the listener ran each request as a task of its own and shielded it from the end of the client's connection, so the retry policy went on deciding for nobody; and attempts were tasks that nothing cancelled. Root cause in one sentence: work had no owner whose end ended it. Class: detached work. The same class the other way round: a shield cut a keyed write off with its caller.

Change: the listener awaits the request, so that sanic's cancellation ends it; a policy says of each attempt in flight whether it may be withdrawn (may_withdraw), and AttemptTasks obeys, on both data planes. A withdrawn exchange resets its connection, so that a request behind a cut does not arrive later. A write that may have been sent is carried on and counted as in flight; so is everything of a keyed write (NodeContext.carry_on). Reading goes on after a request has come whole: sanic had stopped it when the last piece filled its buffer, and then no departure was noticed (the third hypothesis, true for bodies of 64 KiB). An attempt of a read outlives its deadline by 0.1 s in place of 1 s. An endpoint whose attempts are withdrawn late counts as slower.

--- a/src/irisstand/dataplane/http/listener.py
+++ b/src/irisstand/dataplane/http/listener.py
@@ -157,33 +157,31 @@
             left -= len(pieces[-1])
             if left < 0:
                 raise sanic.exceptions.PayloadTooLarge("the body is over the limit")
+        client_departures.keep_noticing(request)
         return b"".join(pieces)
 
     async def serve(self, request: sanic.request.Request) -> sanic.response.HTTPResponse:
-        """Answer a request; it is carried out also if its client goes away, as an origin may be at work."""
+        """Answer a request; sanic cancels this when the client leaves, and the request ends with it."""
         body = await self.read_body(request)
         headers = joined_headers(request)
         host = headers.pop("host", "")
         asked = direct.Request(request.method, request.raw_url, host, headers, body)
-        task = asyncio.get_running_loop().create_task(self.answer(asked))
         with self.context.count_in_flight(), client_departures.counted(self.context.counters):
-            try:
-                response = await asyncio.shield(task)
-            except asyncio.CancelledError:
-                task.add_done_callback(lambda _: self.context.counters.add("answers_without_client"))
-                raise
+            response = await self.answer(asked)
         # A connection that is kept would bring more work to a node that is shutting down.
         if self.context.is_lame_duck or self.context.is_draining:
             typing.cast(typing.Any, request.stream).keep_alive = False
         return response
 
     async def answer(self, request: direct.Request) -> sanic.response.HTTPResponse:
-        """Return the response to a request, whatever happens."""
+        """Return the response to a request, whatever happens; only a client that leaves ends this."""
         try:
             status, headers, body = await self.node.handle(request)
         except errors.IrisError as error:
             return error_response(error)
         except asyncio.CancelledError:
+            if client_departures.is_cancelled():
+                raise
             # Something that this request shared was cancelled; to sanic it would look like a client that
             # left.
             self.context.counters.add("requests_crashed")
--- a/src/irisstand/dataplane/http/sanic_adapter.py
+++ b/src/irisstand/dataplane/http/sanic_adapter.py
@@ -37,6 +37,7 @@
             errors.BadRequestError: The path could be written in another way.
         """
         check_path(request.path)
+        client_departures.keep_noticing(request)
         headers = {name.lower(): value for name, value in request.headers.items()}
         asked = edge_node.Request(
             request.method, request.path, request.query_string, headers, request.body or b""
--- a/src/irisstand/dataplane/nodes/idempotency_keys.py
+++ b/src/irisstand/dataplane/nodes/idempotency_keys.py
@@ -69,6 +69,12 @@
         key = hashlib.sha256(f"{allowed.service}\0{given}".encode()).hexdigest()[:KEY_DIGITS]
         fingerprint = hashlib.sha256(f"{method} {target}\0".encode() + body).hexdigest()[:FINGERPRINT_DIGITS]
         attempt = self.attempt_id(request_id)
+        # Cut off with the client, it would leave a key that nobody could ever learn the result of; and the
+        # same key may be asked for again at any moment (docs/departures.md).
+        return await self.context.carry_on(self.run_claimed(key, attempt, fingerprint, work))
+
+    async def run_claimed(self, key: str, attempt: str, fingerprint: str, work: Work) -> messages.WriteResult:
+        """Claim a key and carry out its write; see `run_once`."""
         try:
             await self.claim(key, attempt, fingerprint)
         except errors.KeyClaimedError as error:
--- a/src/irisstand/dataplane/retry/policy.py
+++ b/src/irisstand/dataplane/retry/policy.py
@@ -39,6 +39,14 @@
         """Return the seconds that are left until the deadline."""
         return self.deadline - self.clock.now()
 
+    def may_withdraw(self, may_have_sent: bool) -> bool:  # noqa: FBT001 - the one thing that is asked about
+        """Return whether an attempt may be cut off once nobody waits for the request any more.
+
+        Args:
+            may_have_sent: Whether a byte of the request may have left for the origin.
+        """
+        return True
+
 
 def deadline_rejection(receiver: str) -> actions.Reject:
     """Reject a request whose deadline passed before `receiver` could be asked."""
--- a/src/irisstand/dataplane/retry/single_attempt_policy.py
+++ b/src/irisstand/dataplane/retry/single_attempt_policy.py
@@ -12,6 +12,10 @@
 class SingleAttemptPolicy(attempt_policy.AttemptPolicy[ResponseT]):
     """Policy of a request that may run at most once: sent again only while it certainly has not run."""
 
+    def may_withdraw(self, may_have_sent: bool) -> bool:  # noqa: FBT001 - as in the base class
+        """Return whether nothing was sent: what an origin has begun is not undone by cutting it off."""
+        return not may_have_sent
+
     def on_attempt_sent(self, event: events.AttemptSent) -> Action[ResponseT]:
         """Count the attempt and wait for its end."""
         self.tried.add(event.endpoint)
--- a/src/irisstand/dataplane/retry/write_policy.py
+++ b/src/irisstand/dataplane/retry/write_policy.py
@@ -24,6 +24,10 @@
 class ShieldWritePolicy(forwarding_policy.ToOriginPolicy, typing.Generic[ResponseT]):
     """Policy of a write at a shield: the next origin gets it only if the last one certainly did not."""
 
+    def may_withdraw(self, may_have_sent: bool) -> bool:  # noqa: FBT001 - as in the base class
+        """Return whether nothing was sent: what an origin has begun is not undone by cutting it off."""
+        return not may_have_sent
+
     def decide(
         self, event: events.Started | forwarding_policy.ToOriginEvent[ResponseT]
     ) -> forwarding_policy.ToOriginAction[ResponseT]:
--- a/src/irisstand/dataplane/upstream/attempts.py
+++ b/src/irisstand/dataplane/upstream/attempts.py
@@ -1,7 +1,7 @@
 """One attempt at one endpoint: a request goes out over one connection, and its answer is judged."""
 
 import asyncio
-import typing
+import dataclasses
 
 from irisstand import errors, node_context
 from irisstand.dataplane.http import header_names
@@ -9,8 +9,11 @@
 from irisstand.dataplane.upstream import exchange, origin_endpoint, upstream_request
 
 MINIMUM_CONNECT_SECONDS = 0.01
-# How long an attempt goes on after the deadline of its request.
-ABANDONED_SECONDS = 1.0
+# How long an attempt goes on after the deadline of its request. An origin that works on a request ends it
+# with its deadline, and its answer keeps the connection usable; in a queue it may only begin then.
+LATE_ANSWER_SECONDS = 0.1
+# The same for an attempt that is not withdrawn.
+CARRIED_ON_SECONDS = 1.0
 # How long an endpoint that did not run a request gets no other.
 FULL_SECONDS = 0.05
 # Clients take these to say that the request has not run, so they are not passed on from an origin that did
@@ -23,8 +26,13 @@
 Result = events.ResponseReceived[exchange.Answer] | events.AttemptFailed
 
 
-class Attempt(typing.NamedTuple):
-    """What is sent to which endpoint; an anonymous attempt goes without the client's request id."""
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """What is sent to which endpoint; an anonymous attempt goes without the client's request id.
+
+    Attributes:
+        connection: What the request is sent over; None until there is one.
+    """
 
     endpoint: origin_endpoint.Endpoint
     request: upstream_request.Request
@@ -32,6 +40,17 @@
     retry_policy: attempt_policy.AttemptPolicy[exchange.Answer]
     delay_seconds: float
     is_anonymous: bool
+    connection: exchange.Exchange | None = None
+
+    @property
+    def service(self) -> str:
+        """The name of the service that is asked."""
+        return self.endpoint.origin.service
+
+    @property
+    def may_have_sent(self) -> bool:
+        """Whether a byte of the request may have left for the origin."""
+        return self.connection is not None and self.connection.may_have_sent
 
 
 class AttemptSender:
@@ -46,7 +65,6 @@
         endpoint = attempt.endpoint
         number = endpoint.begin()
         is_answered = False
-        connection: exchange.Exchange | None = None
         try:
             if attempt.delay_seconds:
                 await asyncio.sleep(attempt.delay_seconds)
@@ -54,21 +72,23 @@
             request_id = "" if attempt.is_anonymous else given_id
             # Without an id nothing would tell a surplus answer to an earlier request from this one's.
             timeout = max(MINIMUM_CONNECT_SECONDS, attempt.retry_policy.remaining())
-            connection = await endpoint.acquire(timeout, is_fresh=not request_id)
-            answer = await self.send(connection, attempt, request_id)
+            attempt.connection = await endpoint.acquire(timeout, is_fresh=not request_id)
+            answer = await self.send(attempt.connection, attempt, request_id)
             is_answered = True
             return self.judge(endpoint, answer, request_id)
         except (OSError, TimeoutError, ValueError, errors.IrisError) as error:
-            touched = connection is not None and connection.may_have_sent
-            self.context.counters.add(
-                "origin_failures", service=endpoint.origin.service, touched=str(touched)
-            )
+            touched = attempt.may_have_sent
+            self.context.counters.add("origin_failures", service=attempt.service, touched=str(touched))
             known = forwarding_policy.as_iris_error(error)
             return events.AttemptFailed(known, endpoint.instance, touched, touched)
+        except asyncio.CancelledError:
+            if attempt.may_have_sent:
+                endpoint.note_unanswered(number)
+            raise
         finally:
             endpoint.finish(number, is_answered=is_answered)
-            if connection is not None:
-                endpoint.release(connection)
+            if attempt.connection is not None:
+                endpoint.release(attempt.connection)
 
     async def send(self, connection: exchange.Exchange, attempt: Attempt, request_id: str) -> exchange.Answer:
         """Send the request over a connection and return the answer, which may have any status."""
@@ -78,9 +98,15 @@
         headers = [("host", request.host), *((n, v) for n, v in attempt.headers if n not in left_out)]
         headers += [(words.remaining, str(remaining_ms)), (words.expected, attempt.endpoint.instance)]
         # The policy has its own deadline; this one is for what goes on after it.
-        async with asyncio.timeout(attempt.retry_policy.remaining() + ABANDONED_SECONDS):
+        async with asyncio.timeout(self.timeout_seconds(attempt)):
             return await connection.send(request.method, request.target, headers, request.body, request_id)
 
+    def timeout_seconds(self, attempt: Attempt) -> float:
+        """Return how long an attempt that is about to be sent may take."""
+        retry_policy = attempt.retry_policy
+        is_withdrawn = retry_policy.may_withdraw(may_have_sent=True)
+        return retry_policy.remaining() + (LATE_ANSWER_SECONDS if is_withdrawn else CARRIED_ON_SECONDS)
+
     def judge(self, endpoint: origin_endpoint.Endpoint, answer: exchange.Answer, request_id: str) -> Result:
         """Return what an origin's complete answer means for the request."""
         words, instance = self.header_names, endpoint.instance
--- a/src/irisstand/dataplane/upstream/client.py
+++ b/src/irisstand/dataplane/upstream/client.py
@@ -19,7 +19,14 @@
     single_attempt_policy,
 )
 from irisstand.dataplane.routing import route_table, routes, snapshot
-from irisstand.dataplane.upstream import attempts, endpoint_pool, exchange, origin_endpoint, upstream_request
+from irisstand.dataplane.upstream import (
+    attempt_tasks,
+    attempts,
+    endpoint_pool,
+    exchange,
+    origin_endpoint,
+    upstream_request,
+)
 
 # The part of a route's target that a request may wait for tokens of a rate limit.
 RATE_WAIT_TARGET_FACTOR = 0.4
@@ -49,7 +56,7 @@
         self.request = request
         self.headers = headers
         self.retry_policy = retry_policy
-        self.running: set[AttemptTask] = set()
+        self.running: dict[AttemptTask, attempts.Attempt] = {}
 
     def rate_wait_seconds(self) -> float:
         """Return how long the request may wait for a token of a rate limit now."""
@@ -81,7 +88,7 @@
         self.header_names = endpoints.header_names
         self.budgets: dict[str, budgets.RetryBudget] = {}
         self.sender = attempts.AttemptSender(context, endpoints.header_names)
-        self.attempts: set[AttemptTask] = set()
+        self.attempts = attempt_tasks.AttemptTasks(context)
 
     def budget(self, service: str) -> budgets.RetryBudget:
         """Return this edge's part of the retries that the service may get from all."""
@@ -107,9 +114,15 @@
             IrisError: the request is rejected.
         """
         call = Call(route, service, request, headers, self.policy_for(route, service, remaining))
-        decision: actions.Respond[exchange.Answer] | actions.Reject = await policy.execute(
-            call.retry_policy, functools.partial(self.perform, call)
-        )
+        try:
+            decision: actions.Respond[exchange.Answer] | actions.Reject = await policy.execute(
+                call.retry_policy, functools.partial(self.perform, call)
+            )
+        except asyncio.CancelledError:
+            # Nobody waits for the request any more: its client left, or the node that asked for it.
+            for task, attempt in call.running.items():
+                self.attempts.give_up(task, attempt, call.retry_policy)
+            raise
         if isinstance(decision, actions.Reject):
             self.context.counters.add("rejected", code=decision.error.code)
             raise decision.error
@@ -143,13 +156,13 @@
             event = self.begin(call)
         return event
 
-    async def wait(self, running: set[AttemptTask], seconds: float) -> Event:
+    async def wait(self, running: dict[AttemptTask, attempts.Attempt], seconds: float) -> Event:
         """Wait for the end of an attempt, for `seconds` at most."""
         done, _ = await asyncio.wait(running, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
         if not done:
             return events.TIMER_EXPIRED
         task = done.pop()
-        running.discard(task)
+        running.pop(task)
         return task.result()
 
     def begin(self, call: Call) -> Event:
@@ -167,11 +180,7 @@
         attempt = attempts.Attempt(
             endpoint, call.request, call.headers, call.retry_policy, delay, is_anonymous=is_anonymous
         )
-        task = asyncio.get_running_loop().create_task(self.sender.run(attempt))
-        # An attempt that nobody waits for any more goes on: its origin is at work on it.
-        self.attempts.add(task)
-        task.add_done_callback(self.attempts.discard)
-        call.running.add(task)
+        call.running[self.attempts.start(self.sender.run(attempt))] = attempt
         return events.AttemptSent(endpoint.instance, endpoint.usual_seconds)
 
     def choose(self, call: Call) -> Choice:
--- a/src/irisstand/dataplane/upstream/exchange.py
+++ b/src/irisstand/dataplane/upstream/exchange.py
@@ -12,7 +12,7 @@
 import httptools
 
 from irisstand import errors
-from irisstand.dataplane.upstream import connection_state, upstream_request
+from irisstand.dataplane.upstream import connection_state, transport_reset, upstream_request
 
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 # An idle connection is given up this long before its origin said it would close it.
@@ -56,9 +56,6 @@
         self.surplus = 0
         self.idle_limit = IDLE_DEFAULT_SECONDS
         self.idle_since = asyncio.get_running_loop().time()
-        self.parser: typing.Any = None
-        self.headers: dict[str, str] = {}
-        self.body = bytearray()
         self.reset()
 
     @property
@@ -73,8 +70,8 @@
 
     def reset(self) -> None:
         """Make ready for the answer to the next request."""
-        self.parser = httptools.HttpResponseParser(self)
-        self.headers = {}
+        self.parser: typing.Any = httptools.HttpResponseParser(self)
+        self.headers: dict[str, str] = {}
         self.body = bytearray()
 
     def spend(self) -> None:
@@ -94,6 +91,12 @@
         """Close the connection."""
         self.end(None)
 
+    def abort(self) -> None:
+        """Reset the connection, so that a request that is given up does not reach the origin later."""
+        if self.transport is not None:
+            transport_reset.reset(self.transport)
+        self.end(None)
+
     def connection_made(self, transport: typing.Any) -> None:
         """Take over the transport of the new connection."""
         self.transport = transport
@@ -225,7 +228,7 @@
             return await self.waiting
         except BaseException:
             # Half an exchange cannot be carried on: the next request would read this one's answer.
-            self.end(None)
+            self.abort()
             raise
         finally:
             self.waiting = None
--- a/src/irisstand/dataplane/upstream/origin_client.py
+++ b/src/irisstand/dataplane/upstream/origin_client.py
@@ -8,7 +8,7 @@
 from irisstand.dataplane.cache import objects
 from irisstand.dataplane.retry import events, forwarding_policy
 from irisstand.dataplane.routing import snapshot
-from irisstand.dataplane.upstream import connections, origin_connections, origin_pool
+from irisstand.dataplane.upstream import attempt_tasks, connections, origin_connections, origin_pool
 
 # What a request waits for its turn at one shield; three of them are well inside any client's patience.
 QUEUE_TIMEOUT_SECONDS = 0.25
@@ -48,27 +48,35 @@
 class Attempt:
     """One attempt at one origin: what it holds until it ends."""
 
-    def __init__(
-        self, allowed: snapshot.AllowedRequest, origin: origin_connections.OriginConnections, slot: Slot
-    ) -> None:
+    def __init__(self, allowed: snapshot.AllowedRequest) -> None:
         self.allowed = allowed
-        self.origin = origin
-        self.slot: Slot | None = slot
-        self.entered_at = slot.entered_at
+        self.slot: Slot | None = None
+        self.entered_at = 0.0
         self.connection: connections.UpstreamConnection | None = None
         # Until when the origin may work on a request that nobody waits for any more.
         self.works_until = 0.0
 
-    def may_have_run(self) -> bool:
+    @property
+    def service(self) -> str:
+        """The name of the service that is asked."""
+        return self.allowed.service
+
+    @property
+    def may_have_sent(self) -> bool:
         """Whether a byte of the request may have left for the origin."""
         return self.connection is not None and self.connection.may_have_sent
 
-    async def release(self) -> None:
+    def hold(self, slot: Slot) -> None:
+        """Take over a place."""
+        self.slot = slot
+        self.entered_at = slot.entered_at
+
+    async def release(self, origin: origin_connections.OriginConnections) -> None:
         """Give the place and the connection back."""
         if self.slot is not None:
             self.slot.share.leave(self.works_until)
         if self.connection is not None:
-            await self.origin.release(self.connection)
+            await origin.release(self.connection)
 
 
 class OriginClient:
@@ -85,6 +93,7 @@
         self.origins = origins
         self.shares: dict[str, service_limits.QuotaShareLimiter] = {}
         self.opened_at = context.clock.now()
+        self.attempts = attempt_tasks.AttemptTasks(context)
 
     async def attempt(
         self,
@@ -93,40 +102,56 @@
         retry_policy: forwarding_policy.ToOriginPolicy,
     ) -> Event:
         """Make one attempt at an origin that the policy has not tried yet."""
+        attempt = Attempt(allowed)
+        task = self.attempts.start(self.run(attempt, request, retry_policy))
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            self.attempts.give_up(task, attempt, retry_policy)
+            raise
+
+    async def run(
+        self, attempt: Attempt, request: OriginRequest, retry_policy: forwarding_policy.ToOriginPolicy
+    ) -> Event:
+        """Make the attempt, and give back what it holds however it ends."""
+        allowed = attempt.allowed
         try:
             origin = self.origins.choose(allowed, retry_policy.tried)
             origin.probe = allowed.probe
-            slot = await self.enter(allowed, retry_policy)
+            attempt.hold(await self.enter(allowed, retry_policy))
         except errors.IrisError as error:
             return events.NoEndpoint(error)
-        attempt = Attempt(allowed, origin, slot)
         try:
-            return await self.send(attempt, request, retry_policy)
+            return await self.send(attempt, origin, request, retry_policy)
         except (TimeoutError, asyncio.CancelledError) as error:
             # Nobody waits any more, but the origin may work on: its place is kept for as long as it could.
-            if attempt.may_have_run():
+            if attempt.may_have_sent:
                 attempt.works_until = attempt.entered_at + service_limits.origin_work_seconds(
                     allowed.deadline
                 )
             if isinstance(error, asyncio.CancelledError):
                 raise
-            origin.mark(is_healthy=origin.is_healthy and attempt.may_have_run(), why=repr(error))
-            return self.failed(attempt, error)
+            origin.mark(is_healthy=origin.is_healthy and attempt.may_have_sent, why=repr(error))
+            return self.failed(attempt, origin, error)
         except origin_connections.FAILURES as error:
             if not isinstance(error, NOT_HEALTH_ERRORS):
                 # An unsealed answer is one request's; a broken connection says that the origin is gone.
                 is_unsealed = isinstance(error, errors.UnsealedResultError)
                 origin.mark(is_healthy=origin.is_healthy and is_unsealed, why=repr(error))
-            return self.failed(attempt, error)
+            return self.failed(attempt, origin, error)
         finally:
-            await attempt.release()
+            await attempt.release(origin)
 
     async def send(
-        self, attempt: Attempt, request: OriginRequest, retry_policy: forwarding_policy.ToOriginPolicy
+        self,
+        attempt: Attempt,
+        origin: origin_connections.OriginConnections,
+        request: OriginRequest,
+        retry_policy: forwarding_policy.ToOriginPolicy,
     ) -> Event:
         """Send the request over a connection of the attempt's origin, and check the seal of the answer."""
         allowed = attempt.allowed
-        connection = await attempt.origin.acquire(max(MINIMUM_TIMEOUT_SECONDS, retry_policy.remaining()))
+        connection = await origin.acquire(max(MINIMUM_TIMEOUT_SECONDS, retry_policy.remaining()))
         attempt.connection = connection
         connection.may_have_sent = False
         await self.renew_slot(attempt, retry_policy)
@@ -138,24 +163,23 @@
         answer = await connection.send(request.method, request.target, headers, request.body, timeout)
         objects.check_seal(answer.headers, answer.body, request.request_id)
         self.context.counters.add("origin_requests", service=allowed.service, method=request.method)
-        return events.ResponseReceived(answer, attempt.origin.instance)
+        return events.ResponseReceived(answer, origin.instance)
 
     async def renew_slot(self, attempt: Attempt, retry_policy: forwarding_policy.ToOriginPolicy) -> None:
         """Take the place anew if it is old: it counts for the moment of sending."""
         while attempt.slot is not None and not attempt.slot.share.is_fresh(attempt.slot.entered_at):
             attempt.slot.share.withdraw(attempt.slot.entered_at)
             attempt.slot = None
-            attempt.slot = await self.enter(attempt.allowed, retry_policy)
-            attempt.entered_at = attempt.slot.entered_at
+            attempt.hold(await self.enter(attempt.allowed, retry_policy))
 
-    def failed(self, attempt: Attempt, error: BaseException) -> events.AttemptFailed:
+    def failed(
+        self, attempt: Attempt, origin: origin_connections.OriginConnections, error: BaseException
+    ) -> events.AttemptFailed:
         """Count a failed attempt and report it."""
-        may_have_run = attempt.may_have_run()
-        self.context.counters.add(
-            "origin_failures", service=attempt.allowed.service, touched=str(may_have_run)
-        )
+        may_have_run = attempt.may_have_sent
+        self.context.counters.add("origin_failures", service=attempt.service, touched=str(may_have_run))
         known = forwarding_policy.as_iris_error(error)
-        return events.AttemptFailed(known, attempt.origin.instance, may_have_run, may_have_run)
+        return events.AttemptFailed(known, origin.instance, may_have_run, may_have_run)
 
     def check_grant(self, allowed: snapshot.AllowedRequest, request: OriginRequest) -> None:
         """Raise StaleConfigurationError if the request is now allowed to another service."""
--- a/src/irisstand/dataplane/upstream/origin_endpoint.py
+++ b/src/irisstand/dataplane/upstream/origin_endpoint.py
@@ -69,6 +69,12 @@
             self.answered_at = self.context.clock.now()
             self.mark_up()
 
+    def note_unanswered(self, number: int) -> None:
+        """Learn from an attempt that is withdrawn: its answer would have taken longer still."""
+        waited = self.context.clock.now() - self.in_flight[number]
+        if waited > self.usual_seconds:
+            self.usual_seconds += NEWEST_WEIGHT * (waited - self.usual_seconds)
+
     def expected_seconds(self) -> float:
         """Return how long the next answer may take: what was slow long ago is worth another look."""
         idle = self.context.clock.now() - self.answered_at
--- a/src/irisstand/node_context.py
+++ b/src/irisstand/node_context.py
@@ -10,6 +10,8 @@
 from irisstand.membership import detector, joining, updates
 from irisstand.transport import network, peers
 
+Result = typing.TypeVar("Result")
+
 # The end of a drain, in which work that cannot be finished is answered with an error that says so.
 FINAL_ANSWERS_SECONDS = 0.3
 DRAIN_CHECK_SECONDS = 0.02
@@ -30,6 +32,7 @@
         crashed: Fails with the error of the first controller that crashed; None until the node is open.
         close_callbacks: Called at the very end, to give up what would keep the process alive.
         tasks: The controllers in the order of their start; a set would give another order in every run.
+        carried_on: Work that goes on also when whoever asked for it has gone.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         self.crashed: asyncio.Future[None] | None = None
         self.close_callbacks: list[collections.abc.Callable[[], None]] = []
         self.tasks: dict[asyncio.Task[typing.Any], None] = {}
+        self.carried_on: set[asyncio.Task[typing.Any]] = set()
 
     async def on_load(self, _sender: str, _body: typing.Any) -> float:
         """Answer with this node's load in requests per second."""
@@ -99,6 +103,29 @@
         finally:
             self.in_flight -= 1
 
+    def count_until_done(self, task: asyncio.Task[typing.Any]) -> None:
+        """Count a task as in flight from now until it ends."""
+        self.in_flight += 1
+        self.carried_on.add(task)
+        task.add_done_callback(self.on_carried_on_done)
+
+    def on_carried_on_done(self, task: asyncio.Task[typing.Any]) -> None:
+        """Count work as ended; its exception counts as retrieved, also where nobody waits for it."""
+        self.in_flight -= 1
+        self.carried_on.discard(task)
+        if not task.cancelled():
+            task.exception()
+
+    async def carry_on(self, coroutine: collections.abc.Coroutine[typing.Any, typing.Any, Result]) -> Result:
+        """Await work that goes on to its own end also when whoever awaits it is cancelled.
+
+        Raises:
+            Exception: Whatever the work raises.
+        """
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.count_until_done(task)
+        return await asyncio.shield(task)
+
     def start_task(
         self, coroutine: collections.abc.Coroutine[typing.Any, typing.Any, typing.Any], name: str
     ) -> asyncio.Task[typing.Any]:
@@ -148,7 +175,7 @@
         """Stop all tasks and close all ports."""
         for callback in self.close_callbacks:
             callback()
-        for task in list(self.tasks):
+        for task in [*self.tasks, *self.carried_on]:
             task.cancel()
         await self.transport.close()
         if self.detector.port is not None:
--- a/tests/dataplane/test_client_departures.py
+++ b/tests/dataplane/test_client_departures.py
@@ -2,22 +2,28 @@
 
 import asyncio
 
-import departing_clients
 import pytest
 from departing_clients import play
+from direct_edge import UPSTREAM
 
+from irisstand import errors
 from irisstand.state import items
 
 # Shorter than the time after which a second attempt is sent beside the first, and longer than it.
 BEFORE_HEDGE, AFTER_HEDGE = 0.1, 0.35
 
 
+def now():
+    return asyncio.get_running_loop().time()
+
+
+# -- what ends with its client -----------------------------------------------------------------------------
 @pytest.mark.parametrize("path", ["/reads/1", "/objects/1"])
 @pytest.mark.parametrize(("seconds", "attempts"), [(BEFORE_HEDGE, 1), (AFTER_HEDGE, 2)])
 def test_read_is_withdrawn_from_its_origins_when_its_client_leaves(path, seconds, attempts):
     async def scene(stage):
         await stage.visit(path, seconds)
-        left_at = asyncio.get_running_loop().time()
+        left_at = now()
         await asyncio.sleep(2)
         return [run.ended_at - left_at for run in stage.origins.runs], stage.origins.cut()
 
@@ -34,3 +40,151 @@
         return len(stage.scene.sent)
 
     assert play(scene) == 1
+
+
+@pytest.mark.parametrize("path", ["/reads/1", "/objects/1", "/writes/1"])
+def test_request_that_is_still_being_connected_is_never_sent(path):
+    async def scene(stage):
+        connect = stage.scene.connect
+
+        async def slow(host, port):
+            await asyncio.sleep(0.3)
+            return await connect(host, port)
+
+        for endpoint in stage.scene.part.endpoints.endpoints.values():
+            endpoint.connect = slow
+        await stage.visit(path, BEFORE_HEDGE, "GET" if path != "/writes/1" else "POST")
+        await asyncio.sleep(2)
+        return stage.scene.sent, len(stage.scene.part.origins.attempts)
+
+    assert play(scene) == ([], 0)
+
+
+@pytest.mark.parametrize(
+    ("path", "method"), [("/reads/1", "GET"), ("/objects/1", "GET"), ("/writes/1", "POST")]
+)
+def test_request_that_waits_for_a_limit_is_never_sent(path, method):
+    async def scene(stage):
+        stage.scene.put(items.CONFIGURATION, "upstream/s", {"version": 2, "item": {**UPSTREAM, "rate": 20.0}})
+        stage.origins.seconds = 0.001
+        # The bucket has no token at first: each request waits for the next one, 50 ms apart.
+        clients = [stage.arrive(f"{path}{number}", method) for number in range(2)]
+        await asyncio.sleep(0.002)
+        waiting = len(stage.scene.sent)
+        for client in clients:
+            await stage.leave(client)
+        await asyncio.sleep(2)
+        return waiting, len(stage.scene.sent), stage.context.in_flight
+
+    assert play(scene) == (0, 0, 0)
+
+
+def test_failure_after_the_client_left_is_not_retried():
+    async def scene(stage):
+        stage.origins.seconds = 0.15
+        stage.origins.status = 500
+        await stage.visit("/writes/1", BEFORE_HEDGE, "POST")
+        await stage.visit("/reads/1", BEFORE_HEDGE)
+        await asyncio.sleep(2)
+        return len(stage.scene.sent), stage.origins.cut()
+
+    assert play(scene) == (2, [False, True])
+
+
+def test_withdrawn_attempt_leaves_its_connection_unused_and_its_endpoint_free():
+    async def scene(stage):
+        await stage.visit("/reads/1", BEFORE_HEDGE)
+        await asyncio.sleep(0.01)
+        endpoints = stage.scene.part.endpoints.endpoints.values()
+        return [(len(e.in_flight), len(e.idle)) for e in endpoints], stage.context.in_flight
+
+    assert play(scene) == ([(0, 0), (0, 0)], 0)
+
+
+def test_endpoint_whose_attempts_are_withdrawn_late_counts_as_slow():
+    async def scene(stage):
+        usual = {key: e.usual_seconds for key, e in stage.scene.part.endpoints.endpoints.items()}
+        await stage.visit("/reads/1", 0.19)
+        await asyncio.sleep(0.01)
+        asked = f"origin/{stage.origins.runs[0].instance}"
+        return stage.scene.part.endpoints.endpoints[asked].usual_seconds - usual[asked]
+
+    assert play(scene) > 0.01
+
+
+@pytest.mark.parametrize(
+    ("path", "method", "seconds"),
+    [("/reads/1", "GET", 0.1), ("/objects/1", "GET", 0.1), ("/writes/1", "POST", 1.0)],
+)
+def test_attempt_ends_soon_after_the_deadline_of_a_client_that_was_not_answered(path, method, seconds):
+    async def scene(stage):
+        stage.origins.seconds = 60
+        started = now()
+        response = await stage.arrive(path, method)
+        # The route's timeout, less the way back.
+        deadline = started + 2.0 - 0.015
+        await asyncio.sleep(5)
+        return response.status, {round(run.ended_at - deadline, 3) for run in stage.origins.runs}
+
+    assert play(scene) == (504, {seconds})
+
+
+# -- what goes on ------------------------------------------------------------------------------------------
+def test_write_at_its_origin_is_carried_on_and_counted_until_it_ends():
+    async def scene(stage):
+        await stage.visit("/writes/1", BEFORE_HEDGE, "POST")
+        counted = stage.context.in_flight
+        await asyncio.sleep(2)
+        return counted, stage.context.in_flight, stage.origins.cut(), len(stage.scene.sent)
+
+    assert play(scene) == (1, 0, [False], 1)
+
+
+def test_shared_fetch_goes_on_while_another_client_waits():
+    async def scene(stage):
+        stage.origins.seconds = 0.3
+        first = stage.arrive("/objects/1")
+        await asyncio.sleep(0.05)
+        second = stage.arrive("/objects/1")
+        await asyncio.sleep(0.05)
+        await stage.leave(first)
+        return (await second).status, len(stage.scene.sent), stage.origins.cut()
+
+    status, sent, cut = play(scene)
+    assert (status, cut[0]) == (200, False)
+    assert sent <= 2
+
+
+def test_shared_fetch_ends_with_its_last_client():
+    async def scene(stage):
+        clients = [stage.arrive("/objects/1") for _ in range(3)]
+        await asyncio.sleep(0.05)
+        cut = []
+        for client in clients:
+            await stage.leave(client)
+            await asyncio.sleep(0.01)
+            cut.append(stage.origins.cut())
+        return cut
+
+    assert play(scene) == [[False], [False], [True]]
+
+
+def test_read_after_an_abandoned_one_begins_anew():
+    async def scene(stage):
+        await stage.visit("/objects/1", 0.05)
+        stage.origins.seconds = 0.01
+        return (await stage.arrive("/objects/1")).status
+
+    assert play(scene) == 200
+
+
+def test_client_that_stays_gets_the_error_of_a_read_that_was_cancelled_inside():
+    async def scene(stage):
+        async def cancelled(_):
+            raise asyncio.CancelledError
+
+        stage.scene.part.handle = cancelled
+        response = await stage.arrive("/reads/1")
+        return response.status, stage.context.counters.total("clients_left")
+
+    assert play(scene) == (errors.OutcomeUnknownError.status, 0)
--- a/tests/dataplane/test_object_holders.py
+++ b/tests/dataplane/test_object_holders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import departing_clients
 import direct_edge
 import pytest
 from direct_edge import whole
@@ -194,3 +195,19 @@
         return site.sent()
 
     assert play(scene) == {"edge-1": 1}
+
+
+def test_holders_fetch_ends_with_the_last_edge_that_waits_for_it():
+    async def scene(site):
+        origins = departing_clients.WorkingOrigins(site.nodes["holder-1"])
+        edges = [asyncio.create_task(site.nodes[f"edge-{n}"].ask("/objects/1")) for n in (1, 2)]
+        await asyncio.sleep(0.05)
+        cut = []
+        for edge in edges:
+            edge.cancel()
+            await asyncio.wait([edge])
+            await asyncio.sleep(0.01)
+            cut.append(origins.cut())
+        return cut, site.sent()
+
+    assert play(scene) == ([[False], [True]], {"holder-1": 1})
--- a/tests/support/departing_clients.py
+++ b/tests/support/departing_clients.py
@@ -61,13 +61,13 @@
 class Stage:
     """One node with a listener for clients, in virtual time."""
 
-    def __init__(self, **fields):
+    def __init__(self, address=("127.0.0.1", 0), **fields):
         settings = direct_edge.SETTINGS._replace(name=f"departures-{next(NUMBERS)}")
         self.scene = direct_edge.Scene(settings=settings, **fields)
         self.scene.put("ledger", "rate-parts", {"units": {settings.name: 1000}})
         self.context = self.scene.context
         self.origins = WorkingOrigins(self.scene)
-        self.listener = listener.ClientListener(self.context, self.scene.part, ("127.0.0.1", 0))
+        self.listener = listener.ClientListener(self.context, self.scene.part, address)
 
     def arrive(self, path, method="GET", **headers):
         """A client's request, as the task in which sanic runs the handler; it is cancelled as sanic does."""
--- a/tests/support/direct_edge.py
+++ b/tests/support/direct_edge.py
@@ -58,7 +58,12 @@
         self.scene.sent.append((self.key, method, target.decode(), sent, asyncio.get_running_loop().time()))
         played = self.scene.play(self.key, sent, body)
         if asyncio.iscoroutine(played):
-            played = await played
+            try:
+                played = await played
+            except asyncio.CancelledError:
+                # As of a real connection: half an exchange cannot be carried on.
+                self.is_open = False
+                raise
         if isinstance(played, Exception):
             self.is_open = False
             raise played
