--- a/tests/dataplane/test_client_departures.py
+++ b/tests/dataplane/test_client_departures.py
@@ -91,6 +91,17 @@
     assert play(scene) == (2, [False, True])
 
 
+def test_departure_is_counted_as_such_and_not_as_a_crash():
+    async def scene(stage):
+        client = stage.arrive("/reads/1")
+        await asyncio.sleep(BEFORE_HEDGE)
+        await stage.leave(client)
+        counters = stage.context.counters
+        return client.cancelled(), counters.total("clients_left"), counters.total("requests_crashed")
+
+    assert play(scene) == (True, 1, 0)
+
+
 def test_withdrawn_attempt_leaves_its_connection_unused_and_its_endpoint_free():
     async def scene(stage):
         await stage.visit("/reads/1", BEFORE_HEDGE)
--- a/tests/mutation/run_mutations.py
+++ b/tests/mutation/run_mutations.py
@@ -16,6 +16,7 @@
 import consensus_mutations
 import controlplane_mutations
 import dataplane_mutations
+import departure_mutations
 import direct_edge_mutations
 import state_mutations
 
@@ -27,6 +28,7 @@
     + controlplane_mutations.GUARDS
     + state_mutations.GUARDS
     + direct_edge_mutations.GUARDS
+    + departure_mutations.GUARDS
 )
 
 
