Test of a cold origin's ramp: bounds around what the code gives, not beside it

Cause: the test failed with 141 where it asked for less than 140. Its reason was wrong, too: the origin gets more than a third, as shields of its region prefer it. Change: 115 to 165 in place of 60 to 140: 50 wide in place of 80, so an origin that stays cold is seen sooner.

--- a/tests/controlplane/test_origin_list.py
+++ b/tests/controlplane/test_origin_list.py
@@ -70,11 +70,12 @@
             before = len(fresh.started)
             await reads(day, 150, f"p{part}")
             counts.append(len(fresh.started) - before)
-        # Five to seven seconds a part: hardly anything at first, about its third of 300 in the end.
+        # Five to seven seconds a part: hardly anything at first. In the end it is one of three, and the shields
+        # of its region prefer it three to one: about 140 of 300, over seeds 131 to 148.
         assert 30 < day.watcher.now() - began < 60
         assert counts[0] < 20, counts
         assert counts[0] < counts[1] < counts[-1], counts
-        assert 60 < sum(counts[-2:]) < 140, counts
+        assert 115 < sum(counts[-2:]) < 165, counts
 
     cluster.play(scene)
 
