--- a/tests/controlplane/test_origin_list.py
+++ b/tests/controlplane/test_origin_list.py
@@ -70,8 +70,8 @@
             before = len(fresh.started)
             await reads(day, 150, f"p{part}")
             counts.append(len(fresh.started) - before)
-        # Five to seven seconds a part: hardly anything at first. In the end it is one of three, and the shields
-        # of its region prefer it three to one: about 140 of 300, over seeds 131 to 148.
+        # Five to seven seconds a part: hardly anything at first. In the end, as one of three that
+        # shields of its region prefer three to one, about 140 of 300; 131 to 148 over seeds.
         assert 30 < day.watcher.now() - began < 60
         assert counts[0] < 20, counts
         assert counts[0] < counts[1] < counts[-1], counts
