--- a/tests/tools/test_worst_days.py
+++ b/tests/tools/test_worst_days.py
@@ -32,5 +32,6 @@
     day = worst_days.draw_day(SITE, "departures", seed)
     (departures,) = [entry for entry in day["faults"] if entry["kind"] == "give_up"]
     assert departures["at"] == worst_days.FIRST
+    assert any(entry["kind"] == "srv_slow" and entry["at"] == worst_days.FIRST for entry in day["faults"])
     assert departures["at"] + departures["for_s"] >= worst_days.LAST
     assert len(day["faults"]) + len(day["plan"]) >= 4
--- a/tools/fault_themes.py
+++ b/tools/fault_themes.py
@@ -62,14 +62,17 @@
     plain("purge_storm", "", "tag", is_planned=True, for_s=(1.5, 4), gap_s=(0.04, 0.2)),
     plain("evacuate", "", "warm", is_planned=True, for_s=(3, 8)),
 ]
-# Clients that leave, in any part of a day; for themes that have them all day long.
-DEPARTURES = plain("give_up", share=(0.1, 0.5), x=(60, 300), for_s=(20, 26))
-# What is on each day of a theme, from the start of its faults.
-ALWAYS: dict[str, list[Fault]] = {"departures": [DEPARTURES]}
+# What is on each day of a theme, from the start of its faults on. A run ends before anyone could see that it
+# went on, unless origins are slow.
+ALWAYS: dict[str, list[Fault]] = {
+    "departures": [
+        plain("give_up", share=(0.2, 0.5), x=(100, 300), for_s=(20, 26)),
+        plain("srv_slow", share=(0.3, 0.5), x=(5, 8), for_s=(18, 24)),
+    ]
+}
 THEMES: dict[str, list[Fault]] = {
     "departures": [
         plain("srv_slow", "", "across", share=(0.2, 0.5), x=(3, 8), for_s=(5, 15)),
-        plain("srv_grey", "hang", "slow", "errors", share=(0.1, 0.4), x=(0.3, 0.6), for_s=(4, 9)),
         plain("srv_crash", "", "dark", share=(0.1, 0.3), for_s=(2, 6)),
         plain("node_cut", "servers", "all", "", share=(0.1, 0.3), for_s=(2, 8)),
         plain("zone_cut", for_s=(2, 6)),
