--- a/tools/fault_themes.py
+++ b/tools/fault_themes.py
@@ -162,10 +162,3 @@
         plain("purge", "", "tag", is_planned=True, count=(2, 5), gap_s=(0.5, 1.5)),
     ],
 }
-CLOSINGS = [
-    {"kind": "power_off_all", "down_s": 1.2},
-    {"kind": "wipe_after_ack", "down_s": 1.4, "how": "aimed"},
-    {"kind": "wipe_after_ack", "down_s": 1.2, "how": "timed"},
-    {"kind": "kill_all", "down_s": 0.7},
-    {"kind": "power_off_all", "down_s": 1.0, "how": "timed"},
-]
