--- a/tools/worst_days.py
+++ b/tools/worst_days.py
@@ -3,8 +3,9 @@
     python tools/worst_days.py write SITE.toml --theme cut-off --seed 7 --out day.toml
     python tools/worst_days.py play SITE.toml --bench PATH --days 10 --first-seed 1 --out DIR
 
-A theme is an entry in THEMES: kinds of trouble, drawn in pairs and threes, at any moment, repeated, with
-changes of the configuration and purges around them. Traffic and marks are the site's own quiet day's.
+A theme is an entry of `fault_themes.THEMES`: kinds of faults, drawn in pairs and threes, at any moment,
+repeated, with changes of the configuration and purges around them. Traffic and marks are those of the site's
+own quiet day.
 """
 
 import pathlib
@@ -16,134 +17,15 @@
 import typing
 
 import click
+import fault_themes
 
-# Of a day, in seconds from the start of traffic: when trouble may begin, and when the last of it may.
+# Of a day, in seconds from the start of traffic: when faults may begin, and when the last of them may.
 FIRST, LAST = 3.0, 22.0
-ACK_HOWS = ("", "kill", "timed", "taken")
-RETURNS = ("leader meet race hard", "leader meet", "meet race hard", "race", "meet drain", "")
-
-
-class Trouble(typing.NamedTuple):
-    """One kind of trouble: which list of the day it stands in, and how its fields are drawn."""
-
-    kind: str
-    fields: typing.Callable[[random.Random], dict[str, typing.Any]]
-    planned: bool = False
-
-
-def span(low: float, high: float) -> typing.Callable[[random.Random], float]:
-    return lambda draw: round(draw.uniform(low, high), 2)
-
-
-def core(kind: str, *hows: str, low: float = 1.0, high: float = 5.0) -> Trouble:
-    """Trouble on one machine of the core for some seconds."""
-
-    def fields(draw: random.Random) -> dict[str, typing.Any]:
-        length = round(draw.uniform(low, high), 2)
-        return {"on": "core", "count": 1, "for_s": length, "how": draw.choice(hows or RETURNS)}
-
-    return Trouble(kind, fields)
-
-
-def plain(kind: str, *hows: str, planned: bool = False, **ranges: tuple[float, float]) -> Trouble:
-    """Trouble whose figures are drawn from ranges and whose variant is drawn from `hows`."""
-
-    def fields(draw: random.Random) -> dict[str, typing.Any]:
-        found: dict[str, typing.Any] = {name: span(*limits)(draw) for name, limits in ranges.items()}
-        if "count" in found:
-            found["count"] = max(1, int(found["count"]))
-        if hows:
-            found["how"] = draw.choice(hows)
-        return found
-
-    return Trouble(kind, fields, planned)
-
-
-CHANGES = [
-    plain("config_change", "route", "weights", "timeout", planned=True),
-    plain("config_storm", planned=True, for_s=(2, 5), gap_s=(0.1, 0.4)),
-    plain("config_race", "", planned=True, count=(1, 5), gap_s=(0.4, 1.5)),
-    plain("bad_config", "old_version", "same_version", "", planned=True, count=(1, 4), gap_s=(0.3, 1.2)),
-    plain("purge_storm", "", "tag", planned=True, for_s=(1.5, 4), gap_s=(0.04, 0.2)),
-    plain("evacuate", "", "warm", planned=True, for_s=(3, 8)),
-]
-THEMES: dict[str, list[Trouble]] = {
-    "cut-off": [
-        core("core_cut", *RETURNS, "one_way", "seeds", "both", "refuse race", "reset meet", low=4, high=20),
-        core("node_cut", low=4, high=20),
-        core("node_freeze", low=1, high=8),
-        core("node_kill", "leader race hard", "seed race hard", "power meet race hard"),
-        plain("zone_cut", "", "race hard", for_s=(3, 12)),
-        plain("node_freeze", "", share=(0.05, 0.2), for_s=(1, 5)),
-        core("node_slow", low=2, high=6),
-    ],
-    "one-content": [
-        plain("config_race", "", planned=True, count=(2, 6), gap_s=(0.2, 1.0)),
-        plain("bad_config", "old_version", "same_version", "", planned=True, count=(2, 5), gap_s=(0.2, 0.8)),
-        plain("ack_lost", x=(0.4, 0.9), for_s=(3, 10)),
-        plain("after_ack_kill", *ACK_HOWS, count=(1, 2), for_s=(0.8, 3)),
-        core("node_kill", "leader race hard", "leader meet race hard"),
-        core("core_cut", "leader race hard", "leader meet race hard"),
-    ],
-    "second-loss": [
-        plain("replace_core", "", "planned", x=(0.5, 2)),
-        plain("after_ack_wipe", *ACK_HOWS, for_s=(0.6, 2)),
-        plain("zone_loss", "", "race drain hard", for_s=(1.5, 6)),
-        plain("roll_term", "remove", "busy", "", planned=True, share=(0.2, 0.6), x=(1, 1), gap_s=(0.8, 2)),
-        core("node_kill", "power meet", "power race hard"),
-        plain("seed_turnover"),
-        Trouble(
-            "herd_kill", lambda draw: {"on": "core", "share": round(draw.uniform(0.4, 1), 2), "for_s": 1.0}
-        ),
-    ],
-    "many-changes": [
-        plain("config_storm", planned=True, for_s=(4, 9), gap_s=(0.06, 0.2)),
-        plain("purge_storm", "", "tag", planned=True, for_s=(3, 8), gap_s=(0.03, 0.1)),
-        core("node_kill", "power", "power leader meet race hard", ""),
-        plain("disk_slow", "", "leader", count=(1, 2), x=(5, 30), for_s=(2, 5)),
-        plain("disk_full", "", "leader", count=(1, 2), for_s=(2, 5)),
-        plain("disk_stall", "", "leader", count=(1, 2), for_s=(2, 5)),
-        plain("after_ack_kill", *ACK_HOWS, for_s=(0.6, 2)),
-        plain("big_config", planned=True, count=(100, 900)),
-    ],
-    "sent-twice": [
-        plain("answer_lost", "", "reset", share=(0.3, 0.8), x=(0.02, 0.08), for_s=(4, 8)),
-        plain("garble", "extra", "extra late", "", share=(0.3, 0.7), x=(0.01, 0.04), for_s=(4, 8)),
-        plain("reset_conns", "", share=(0.1, 0.5), x=(0.3, 0.9)),
-        plain("node_freeze", "", share=(0.05, 0.2), for_s=(1, 3)),
-        plain("replace_with_reuse", "", "drain", "dark", share=(0.1, 0.3)),
-        plain("node_cut", "servers", share=(0.1, 0.3), for_s=(2, 5)),
-        plain("roll_term", "busy", planned=True, share=(0.2, 0.6), x=(1, 2), gap_s=(0.8, 1.5)),
-        plain("idle_race", share=(0.3, 0.8), x=(100, 400), for_s=(5, 9)),
-    ],
-    "others": [
-        plain("srv_slow", "", "across", share=(0.1, 0.4), x=(3, 6), for_s=(3, 6)),
-        plain(
-            "srv_grey",
-            "errors",
-            "shed",
-            "hang",
-            "reset",
-            "slow",
-            share=(0.1, 0.3),
-            x=(0.3, 0.6),
-            for_s=(3, 6),
-        ),
-        plain("srv_lying_health", "errors", "hang", "bad", share=(0.1, 0.3), for_s=(3, 6)),
-        plain("srv_flap", share=(0.1, 0.3), gap_s=(0.6, 1.5), for_s=(4, 8)),
-        plain("srv_crash", "", "dark", "gone", share=(0.1, 0.3), for_s=(2, 5)),
-        plain("release", planned=True, share=(0.3, 0.6), x=(1, 2), gap_s=(0.8, 1.5)),
-        plain("scale_in", "", "spot", planned=True, share=(0.1, 0.2), x=(1, 3)),
-        plain("scale_out", planned=True, share=(0.2, 0.4), gap_s=(1, 2)),
-        plain("cold_return", "", "dark", for_s=(2, 4)),
-        plain("clock_step", "", "back", "ahead", x=(1000, 5000), share=(0.2, 0.6), for_s=(2, 6)),
-        plain("hup", planned=True, share=(0.3, 1), gap_s=(0.5, 2)),
-        plain("herd_kill", "", "power", share=(0.3, 0.7), for_s=(0.8, 2)),
-        plain("burst", x=(1.3, 1.8), for_s=(2, 4)),
-        plain("retry_abuse", share=(0.1, 0.3), x=(2, 3), for_s=(3, 6)),
-        plain("purge", "", "tag", planned=True, count=(2, 5), gap_s=(0.5, 1.5)),
-    ],
-}
+# Seconds before the last moment at which a fault that may come again begins at the latest.
+REPEAT_SECONDS = 6
+CLOSING_SHARE = 0.6
+MIXED = "mixed"
+THEME_NAMES = [*fault_themes.THEMES, MIXED]
 CLOSINGS = [
     {"kind": "power_off_all", "down_s": 1.2},
     {"kind": "wipe_after_ack", "down_s": 1.4, "how": "aimed"},
@@ -151,41 +33,69 @@
     {"kind": "kill_all", "down_s": 0.7},
     {"kind": "power_off_all", "down_s": 1.0, "how": "timed"},
 ]
+# What a report says of rules, and of work for clients that had left; or why the bench does not take the day:
+# some kinds are closed to some deployments.
+VERDICT = re.compile(
+    r"[^\n]*rules? broken[^\n]*|short of the gate[^\n]*|^fleetbench: [^\n]*|^GONE[^\n]*", re.MULTILINE
+)
+WORKED_ON = re.compile(r"([\d.]+) worth worked on after its client had left")
+VERDICT_CHARACTERS_LIMIT = 300
+
+Day = dict[str, typing.Any]
+
 
+def faults_of(theme: str) -> list[fault_themes.Fault]:
+    """Return the faults that a theme draws from."""
+    if theme != MIXED:
+        return fault_themes.THEMES[theme]
+    return [fault for faults in fault_themes.THEMES.values() for fault in faults]
 
-def draw_day(site: dict[str, typing.Any], theme: str, seed: int) -> dict[str, typing.Any]:
-    """A day of the bench's own form: two to four kinds, some repeated `catch_up` after one another."""
+
+def draw_day(site: Day, theme: str, seed: int) -> Day:
+    """Return a day of the bench's own form: two to four kinds, some repeated `catch_up` after one another."""
     draw = random.Random(f"{site['name']} {theme} {seed}")
     quiet = next(day for day in site["day"] if day["slot"] == "quiet")
-    pool = (
-        [trouble for troubles in THEMES.values() for trouble in troubles]
-        if theme == "mixed"
-        else THEMES[theme]
-    )
+    pool = faults_of(theme)
     day = {key: value for key, value in quiet.items() if key not in ("plan", "faults", "small")}
     day.update(name=f"worst-{theme}-{seed}", slot="trouble", seed=draw.randrange(1, 2**31), light=False)
-    plan = [{"at": 2.0, "kind": "config_change", "how": "idle"}]
-    faults: list[dict[str, typing.Any]] = []
+    plan: list[Day] = [{"at": 2.0, "kind": "config_change", "how": "idle"}]
+    faults: list[Day] = [
+        {"at": FIRST, "kind": fault.kind, **fault.fields(draw)}
+        for fault in fault_themes.ALWAYS.get(theme, [])
+    ]
     chosen = draw.sample(pool, min(len(pool), draw.choice((2, 3, 3, 4))))
-    chosen += draw.sample(CHANGES, draw.choice((1, 2)))
-    for trouble in chosen:
-        at = draw.uniform(FIRST, LAST - 6)
-        for _ in range(draw.choice((1, 1, 2, 3))):
-            entry = {"at": round(at, 2), "kind": trouble.kind, **trouble.fields(draw)}
-            (plan if trouble.planned else faults).append(entry)
-            # The next comes as soon as the tolerance allows it, or a little later.
-            at += entry.get("for_s", 1.0) + site["timing"]["catch_up_s"] + draw.choice((0.1, 0.3, 1.0, 2.5))
-            if at > LAST:
-                break
-    day["plan"] = sorted(plan, key=lambda entry: entry["at"])
-    day["faults"] = sorted(faults, key=lambda entry: entry["at"])
-    if draw.random() < 0.6:
+    chosen += draw.sample(fault_themes.CHANGES, draw.choice((1, 2)))
+    for fault in chosen:
+        entries = draw_entries(fault, draw, site["timing"]["catch_up_s"])
+        (plan if fault.is_planned else faults).extend(entries)
+    day["plan"] = sorted(plan, key=moment_of)
+    day["faults"] = sorted(faults, key=moment_of)
+    if draw.random() < CLOSING_SHARE:
         day["closing"] = draw.choice(CLOSINGS)
     return day
 
 
+def draw_entries(fault: fault_themes.Fault, draw: random.Random, catch_up_seconds: float) -> list[Day]:
+    """Return one to three entries of a kind of fault, one after the other."""
+    entries: list[Day] = []
+    at = draw.uniform(FIRST, LAST - REPEAT_SECONDS)
+    for _ in range(draw.choice((1, 1, 2, 3))):
+        entry = {"at": round(at, 2), "kind": fault.kind, **fault.fields(draw)}
+        entries.append(entry)
+        # The next comes as soon as the tolerance allows it, or a little later.
+        at += entry.get("for_s", 1.0) + catch_up_seconds + draw.choice((0.1, 0.3, 1.0, 2.5))
+        if at > LAST:
+            break
+    return entries
+
+
+def moment_of(entry: Day) -> float:
+    """Return when an entry of a day begins, in seconds from the start of traffic."""
+    return float(entry["at"])
+
+
 def as_toml(value: typing.Any) -> str:
-    """A value as TOML on one line; tables are written inline.
+    """Return a value as TOML on one line; tables are written inline.
 
     >>> as_toml({"at": 1.5, "how": "race", "share": [1, True]})
     '{ at = 1.5, how = "race", share = [1, true] }'
@@ -201,48 +111,68 @@
     return str(value)
 
 
-def write_day(path: pathlib.Path, day: dict[str, typing.Any]) -> None:
+def write_day(path: pathlib.Path, day: Day) -> None:
+    """Write a day as the bench reads it."""
     path.write_text("[[day]]\n" + "".join(f"{key} = {as_toml(value)}\n" for key, value in day.items()))
 
 
+class Played(typing.NamedTuple):
+    """What the bench said of a day: exit code, rules it names, and its work for clients that had left."""
+
+    exit_code: int
+    verdict: str
+    worked_on: str
+
+
+def play_day(command: list[str], log: pathlib.Path) -> Played:
+    """Play a day by a command, and keep all that the command prints."""
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    printed = done.stdout + done.stderr
+    log.write_text(printed)
+    verdict = "; ".join(sorted(set(VERDICT.findall(printed))))[:VERDICT_CHARACTERS_LIMIT]
+    worked_on = WORKED_ON.search(printed)
+    return Played(done.returncode, verdict or "no rule named", worked_on[1] if worked_on else "-")
+
+
 @click.group(help=__doc__)
 def main() -> None:
-    pass
+    """Group the commands."""
 
 
 @main.command(help="Write one day.")
 @click.argument("site", type=click.Path(exists=True))
-@click.option("--theme", type=click.Choice([*THEMES, "mixed"]), default="mixed", show_default=True)
+@click.option("--theme", type=click.Choice(THEME_NAMES), default=MIXED, show_default=True)
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--out", type=click.Path(), required=True)
 def write(site: str, theme: str, seed: int, out: str) -> None:
+    """Write one day of a theme."""
     write_day(pathlib.Path(out), draw_day(tomllib.loads(pathlib.Path(site).read_text()), theme, seed))
 
 
 @main.command(help="Write days of all themes in turn, play each, and say which broke a rule.")
 @click.argument("site", type=click.Path(exists=True))
 @click.option("--bench", type=click.Path(exists=True), required=True, help="the platform's bench")
+@click.option("--theme", type=click.Choice(THEME_NAMES), help="days of this theme only")
 @click.option("--days", type=int, default=7, show_default=True)
 @click.option("--first-seed", type=int, default=1, show_default=True)
-@click.option("--jobs", type=int, default=8, show_default=True)
+@click.option("--jobs", type=int, default=4, show_default=True)
 @click.option("--out", type=click.Path(), required=True, help="a folder for days and their reports")
 @click.option("--why", default="days of the worst kinds", show_default=True)
-def play(site: str, bench: str, days: int, first_seed: int, jobs: int, out: str, why: str) -> None:
-    (folder := pathlib.Path(out)).mkdir(parents=True, exist_ok=True)
-    described, themes = tomllib.loads(pathlib.Path(site).read_text()), [*THEMES, "mixed"]
+def play(**options: typing.Any) -> None:
+    """Play days, and end with exit code 1 if the bench named a fault on any."""
+    site, bench, jobs, why = options["site"], options["bench"], options["jobs"], options["why"]
+    (folder := pathlib.Path(options["out"])).mkdir(parents=True, exist_ok=True)
+    described = tomllib.loads(pathlib.Path(site).read_text())
+    themes = [options["theme"]] if options["theme"] else THEME_NAMES
     failed = False
-    for number in range(days):
-        seed, theme = first_seed + number, themes[number % len(themes)]
+    for number in range(options["days"]):
+        seed, theme = options["first_seed"] + number, themes[number % len(themes)]
         path = folder / f"{described['name']}-{theme}-{seed}.toml"
         write_day(path, draw_day(described, theme, seed))
         command = [bench, "run", site, str(path), "--jobs", str(jobs), "--why", f"{why}: {theme} {seed}"]
-        done = subprocess.run(command, capture_output=True, text=True)
-        path.with_suffix(".log").write_text(done.stdout + done.stderr)
-        # What it broke, or why the bench does not take the day: some kinds are closed to some deployments.
-        told = r"[^\n]*rules? broken[^\n]*|short of the gate[^\n]*|^fleetbench: [^\n]*"
-        broken = sorted(set(re.findall(told, done.stdout + done.stderr, re.M)))
-        failed |= done.returncode != 0
-        click.echo(f"{path.stem}: exit {done.returncode}; {'; '.join(broken)[:300] or 'no rule named'}")
+        played = play_day(command, path.with_suffix(".log"))
+        failed |= played.exit_code != 0
+        click.echo(f"{path.stem}: exit {played.exit_code}; worked on {played.worked_on}; {played.verdict}")
     sys.exit(failed)
 
 
