Review: requests that wait for a token are dropped at a shutdown

Case review/3: an edge that is stopped in order while a service is at its rate ends requests that it read, and passed on to no origin, without an answer.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,43 +1,101 @@
-"""A purge of an object that clients name by another spelling of the same host: whether its copy is served."""
+"""A machine that is stopped in order while a service is at its rate: whether requests that it read are answered."""
 
 import asyncio
 import pathlib
+import signal
 import sys
+import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "common"))
 
 import stand_ins
 
-# Past `purge` (2 s) after the acknowledgement.
-AFTER_SECONDS = 2.5
+RATE_PER_S = 20.0
+# Clients' requests a second: under the rate, and twice the rate.
+USUAL_PER_S = 14
+BURST_PER_S = 40
+BURST_SECONDS = 12.0
+# When the machine gets SIGTERM, from the start of the load.
+STOPPED_AFTER_SECONDS = 7.0
+# Clients' entry takes a node out after two misses, a second apart.
+ENTRY_SECONDS = 2.0
+REMAINING_MS = 20000
 
 
 async def play(fleet, record, trouble):
-    plain = "shop.example"
-    spellings = [f"{plain}:{fleet.front}", "Shop.Example"] if trouble else [plain]
-    path = "/views/1"
-    objects = fleet.objects["content"]
-    objects[path] = ('"v1"', b"old page", "t1")
-    edges = fleet.edge_names()
-    for edge in edges:
-        for host in [plain, *spellings]:
-            status, _, body = await fleet.ask(edge, "GET", path, host=host)
-            record.add(f"client gets {status} {body!r} at {edge} for Host: {host}")
-    objects[path] = ('"v2"', b"new page", "t1")
-    record.add("the object changes to 'new page'")
-    status = await fleet.order_until_taken("POST", "/purges", {"host": plain, "path": path})
+    fleet.version = 9
+    service = {
+        "name": "content", "probe": "/health", "connections": 110, "protocol": "h1", "tls": False,
+        "warmup": 3.0, "cold_rate": 9.8, "rate": RATE_PER_S, "version": 9,
+    }
+    route = fleet.route("reports", "non_idempotent", "content", timeout=20.0, target=12.0)
+    status = await fleet.order_until_taken(
+        "POST", "/amendments", {"put": {"upstreams": [service], "routes": [route]}}
+    )
     if status != 200:
-        raise stand_ins.CannotRun(f"the purge was not taken: {status}")
-    await asyncio.sleep(AFTER_SECONDS)
-    stale = 0
-    for edge in edges:
-        for host in [plain, *spellings]:
-            status, headers, body = await fleet.ask(edge, "GET", path, host=host)
-            record.add(f"client gets {status} {body!r}, ETag {headers.get('etag')}, at {edge} for Host: {host}")
-            stale += body == b"old page"
-    record.add(f"{stale} answers from a copy that was purged over {AFTER_SECONDS} s before")
-    return stale == 0
+        raise stand_ins.CannotRun(f"the route was not taken: {status}")
+    await asyncio.sleep(2.5)
+    stopped, other = fleet.edge_names()[:2]
+    state = {"stopped_at": 0.0}
+    lost = []
+
+    async def send(number, edge):
+        attempt = stand_ins.new_id()
+        sent_at = time.monotonic()
+        address = (fleet.machines[edge][0], fleet.front)
+        try:
+            reader, writer = await asyncio.open_connection(*address)
+        except OSError:
+            record.add(f"POST /reports/{number} id {attempt}: {edge} takes no connection")
+            return
+        body = b"report"
+        writer.write(
+            (
+                f"POST /reports/{number} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {attempt}\r\n"
+                f"Time-Remaining: {REMAINING_MS}\r\nContent-Length: {len(body)}\r\n\r\n"
+            ).encode()
+            + body
+        )
+        status = 0
+        try:
+            async with asyncio.timeout(REMAINING_MS / 1000):
+                status, _, _ = await stand_ins.read_answer(reader, "POST")
+            ending = "the connection ended"
+        except TimeoutError:
+            ending = "the deadline came"
+        except (OSError, asyncio.IncompleteReadError, ValueError, IndexError):
+            ending = "the connection ended"
+        writer.close()
+        held = time.monotonic() - sent_at
+        arrived = any(run.attempt == attempt for one in fleet.origins for run in one.arrivals)
+        record.add(
+            f"POST /reports/{number} id {attempt} at {edge} gets {status or 'no answer: ' + ending}"
+            f" after {held:.2f} s{'' if arrived else ', and reached no origin'}"
+        )
+        if not status and ending == "the connection ended" and held > stand_ins.BOUNDS["loss_slack"]:
+            # At work at an origin in the second half of `grace`: not counted.
+            if not arrived:
+                lost.append(attempt)
+
+    started = time.monotonic()
+    tasks = []
+    per_second = BURST_PER_S if trouble else USUAL_PER_S
+    while (now := time.monotonic() - started) < BURST_SECONDS:
+        if not state["stopped_at"] and now >= STOPPED_AFTER_SECONDS:
+            state["stopped_at"] = time.monotonic()
+            record.add(f"{stopped} gets SIGTERM")
+            fleet.processes[stopped].send_signal(signal.SIGTERM)
+        is_out = state["stopped_at"] and time.monotonic() - state["stopped_at"] > ENTRY_SECONDS
+        edge = other if is_out or len(tasks) % 2 else stopped
+        tasks.append(asyncio.ensure_future(send(len(tasks), edge)))
+        await asyncio.sleep(1 / per_second)
+    await asyncio.gather(*tasks)
+    record.add(f"ends of {stopped}: {fleet.ends[stopped]}")
+    record.add(
+        f"{len(lost)} requests were read by {stopped}, passed on to no origin, and ended without an answer"
+    )
+    return not lost
 
 
 if __name__ == "__main__":
