--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,12 +12,11 @@
 import stand_ins
 
 RATE_PER_S = 20.0
-# Clients' requests a second: under the rate, and twice the rate.
-USUAL_PER_S = 14
-BURST_PER_S = 40
-BURST_SECONDS = 12.0
+# Clients' requests a second, all the time: a quarter of them more than the service may get.
+LOAD_PER_S = 25
+LOAD_SECONDS = 27.0
 # When the machine gets SIGTERM, from the start of the load.
-STOPPED_AFTER_SECONDS = 7.0
+STOPPED_AFTER_SECONDS = 22.0
 # Clients' entry takes a node out after two misses, a second apart.
 ENTRY_SECONDS = 2.0
 REMAINING_MS = 20000
@@ -36,7 +35,7 @@
     if status != 200:
         raise stand_ins.CannotRun(f"the route was not taken: {status}")
     await asyncio.sleep(2.5)
-    stopped, other = fleet.edge_names()[:2]
+    stopped, *others = fleet.edge_names()
     state = {"stopped_at": 0.0}
     lost = []
 
@@ -80,16 +79,15 @@
 
     started = time.monotonic()
     tasks = []
-    per_second = BURST_PER_S if trouble else USUAL_PER_S
-    while (now := time.monotonic() - started) < BURST_SECONDS:
-        if not state["stopped_at"] and now >= STOPPED_AFTER_SECONDS:
+    while (now := time.monotonic() - started) < LOAD_SECONDS:
+        if trouble and not state["stopped_at"] and now >= STOPPED_AFTER_SECONDS:
             state["stopped_at"] = time.monotonic()
             record.add(f"{stopped} gets SIGTERM")
             fleet.processes[stopped].send_signal(signal.SIGTERM)
         is_out = state["stopped_at"] and time.monotonic() - state["stopped_at"] > ENTRY_SECONDS
-        edge = other if is_out or len(tasks) % 2 else stopped
-        tasks.append(asyncio.ensure_future(send(len(tasks), edge)))
-        await asyncio.sleep(1 / per_second)
+        edges = others if is_out else [stopped, *others]
+        tasks.append(asyncio.ensure_future(send(len(tasks), edges[len(tasks) % len(edges)])))
+        await asyncio.sleep(max(0.0, started + len(tasks) / LOAD_PER_S - time.monotonic()))
     await asyncio.gather(*tasks)
     record.add(f"ends of {stopped}: {fleet.ends[stopped]}")
     record.add(
@@ -99,4 +97,5 @@
 
 
 if __name__ == "__main__":
-    stand_ins.main(HERE, play)
+    # One edge of three is stopped.
+    stand_ins.main(HERE, play, edges=3)
--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -120,6 +120,8 @@
         self.record, self.service, self.zone = record, service, zone
         self.instance = f"i-{service}-{number}"
         self.state = "ready"
+        # Until when the platform's list calls it cold.
+        self.cold_until = 0.0
         self.work_seconds = work_seconds
         # By path: (ETag, body, tags); shared by the origins of a service.
         self.objects = {} if objects is None else objects
@@ -217,7 +219,7 @@
                     {
                         "id": one.instance, "service": one.service, "address": f"127.0.0.1:{one.port}",
                         "zone": one.zone, "version": "v1", "slot_count": 8, "state": one.state,
-                        "cold_remaining": 0,
+                        "cold_remaining": round(max(0.0, one.cold_until - time.monotonic()), 3),
                     }
                     for one in self.origins
                 ]
