--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,7 +7,7 @@
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "common"))
+sys.path.insert(0, str(HERE.parent))
 
 import stand_ins
 
--- a/review/common/stand_ins.py
+++ b/review/stand_ins.py
@@ -16,7 +16,7 @@
 import tempfile
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 NET = f"127.{random.randint(40, 200)}.{random.randint(1, 250)}"
 ZONES = {"zone-a": "region-1", "zone-b": "region-1", "zone-c": "region-1"}
 BOUNDS = {
