--- a/src/irisstand/dataplane/http/listener.py
+++ b/src/irisstand/dataplane/http/listener.py
@@ -21,6 +21,8 @@
 MIN_TIMEOUT_SECONDS = 1.0
 OPENING_CHECK_SECONDS = 0.02
 BACKLOG = 512
+# An answer of the node's own after more than this time was not for want of a token or an origin alone.
+LATE_ANSWER_SECONDS = 0.5
 STATUS_REQUEST_TIMEOUT = 408
 STATUS_PAYLOAD_TOO_LARGE = 413
 STATUS_HEADERS_TOO_LARGE = 431
@@ -175,9 +177,11 @@
 
     async def answer(self, request: direct.Request) -> sanic.response.HTTPResponse:
         """Return the response to a request, whatever happens; only a client that leaves ends this."""
+        started_at = self.context.clock.now()
         try:
             status, headers, body = await self.node.handle(request)
         except errors.IrisError as error:
+            self.count_own_answer(error, started_at)
             return error_response(error)
         except asyncio.CancelledError:
             if client_departures.is_cancelled():
@@ -194,6 +198,13 @@
         content_type = headers.get("content-type", DEFAULT_CONTENT_TYPE)
         return sanic.response.HTTPResponse(body, status, forwarded, content_type)
 
+    def count_own_answer(self, error: errors.IrisError, started_at: float) -> None:
+        """Count an answer of this node's own by code, stage of a shutdown, and whether it came late."""
+        is_late = self.context.clock.now() - started_at > LATE_ANSWER_SECONDS
+        self.context.counters.add(
+            "own_answers", code=error.code, stage=self.context.shutdown_stage(), late=str(is_late)
+        )
+
     def on_error(self, request: sanic.request.Request, error: Exception) -> sanic.response.HTTPResponse:
         """Return the response to a request that sanic refuses."""
         status = getattr(error, "status_code", None) or STATUS_INTERNAL_ERROR
--- a/src/irisstand/node_context.py
+++ b/src/irisstand/node_context.py
@@ -77,6 +77,12 @@
         """Answer with this node's load in requests per second."""
         return self.load_gauge.per_second()
 
+    def shutdown_stage(self) -> str:
+        """Return how far the shutdown is, as counters name it: serving, lame-duck or draining."""
+        if self.is_draining:
+            return "draining"
+        return "lame-duck" if self.is_lame_duck else "serving"
+
     # -- members -------------------------------------------------------------------------------------
     def region_by_site(self) -> dict[str, str]:
         """Return the region of each known site; the settings win over what members say."""
@@ -159,11 +165,18 @@
     async def drain(self) -> None:
         """Take no new work, give what is in flight its time, and tell members that this node leaves."""
         self.is_draining = True
-        end = self.clock.now() + self.settings.drain
+        started_at = self.clock.now()
+        end = started_at + self.settings.drain
         while (self.has_pending_work() or self.in_flight) and self.clock.now() < end:
             if self.clock.now() >= end - FINAL_ANSWERS_SECONDS:
                 self._announce_drain_ending()
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
+        event_log.record(
+            "drained",
+            seconds=round(self.clock.now() - started_at, 3),
+            in_flight=self.in_flight,
+            connections=self.has_pending_work(),
+        )
         self.detector.leave()
         await asyncio.sleep(LEAVE_SECONDS)
 
--- /dev/null
+++ b/tests/dataplane/test_own_answers.py
@@ -0,0 +1,46 @@
+"""What counters and the event log say of a node's own answers, and of what a drain leaves behind."""
+
+import asyncio
+
+import eliot
+from departing_clients import play
+
+
+def test_own_answers_are_counted_by_code_stage_of_the_shutdown_and_lateness():
+    async def scene(stage):
+        stage.origins.seconds = 9
+        stage.scene.route("reads", kind="idempotent", timeout=1.0)
+        await stage.arrive("/nowhere/1")
+        stage.context.is_lame_duck = True
+        await stage.arrive("/reads/1")
+        get = stage.context.counters.get
+        return (
+            get("own_answers", code="unknown-path", stage="serving", late="False"),
+            get("own_answers", code="deadline-passed", stage="lame-duck", late="True"),
+            stage.context.counters.total("own_answers"),
+        )
+
+    assert play(scene) == (1, 1, 2)
+
+
+def test_end_of_a_drain_says_what_was_left_unanswered():
+    async def scene(stage):
+        stage.origins.seconds = 9
+        stage.context.settings = stage.context.settings._replace(drain=0.5)
+        stage.context.detector.leave = lambda: None
+        client = stage.arrive("/writes/1", "POST")
+        await asyncio.sleep(0.01)
+        events = []
+        eliot.add_destinations(events.append)
+        await stage.context.drain()
+        eliot.remove_destination(events.append)
+        client.cancel()
+        await asyncio.wait([client])
+        return [
+            (event["seconds"], event["in_flight"], event["connections"])
+            for event in events
+            if event["message_type"] == "drained"
+        ]
+
+    # The request counts twice, at the listener and at its exchange with the origins.
+    assert play(scene) == [(0.5, 2, False)]
