--- a/src/irisstand/cli/develop.py
+++ b/src/irisstand/cli/develop.py
@@ -110,6 +110,27 @@
     sys.exit(1 if figures.broken else 0)
 
 
+@click.command(
+    help="Stop, start and change real processes in series, under slow origins and kept connections."
+)
+@click.option("--first", type=int, default=1, help="The first seed.")
+@click.option("--runs", type=click.IntRange(1), default=1, help="How many runs; each has the next seed.")
+@click.option("--edges", type=click.IntRange(2, 300), help="How many edges; drawn if not given.")
+@click.option("--seconds", type=click.FloatRange(5, 3600), default=60, help="How long clients send in a run.")
+@click.option(
+    "--folder",
+    default="",
+    metavar="DIRECTORY",
+    show_default="a temporary one",
+    help="Where settings, data and logs are kept.",
+)
+def soak(*, first: int, runs: int, edges: int | None, seconds: float, folder: str) -> None:
+    """Play soak runs; exit code 1 if one of them found something."""
+    from irisstand.soak import runner
+
+    sys.exit(runner.run(range(first, first + runs), edges, seconds, folder, click.echo))
+
+
 @click.command(
     "check-model",
     help="Explore the consensus code. Tried at a small size: orders of messages, losses, crashes.",
@@ -223,4 +244,4 @@
             click.echo(f"{count:>6} routes: {what:<50} {figure:>10.4g} {unit}")
 
 
-COMMANDS = [start_cluster, start_emulators, simulate, fuzz_origins, check_model, benchmark_group]
+COMMANDS = [start_cluster, start_emulators, simulate, fuzz_origins, soak, check_model, benchmark_group]
--- a/tests/docs/test_on_call.py
+++ b/tests/docs/test_on_call.py
@@ -11,7 +11,7 @@
 SOURCE = ROOT / "src" / "irisstand"
 PAGE = (ROOT / "docs" / "on-call.md").read_text()
 # Packages that run on developers' machines only.
-NOT_IN_DAEMONS = {"simulator", "modelcheck", "localcluster", "emulators", "cli"}
+NOT_IN_DAEMONS = {"simulator", "modelcheck", "localcluster", "soak", "emulators", "cli"}
 ROW = re.compile(r"^\| `([^`]+)` \|([^|]*)\|([^|]*)\|([^|]*)\|$", re.MULTILINE)
 Names = dict[str, set[str]]
 
--- a/tests/test_source_rules.py
+++ b/tests/test_source_rules.py
@@ -18,7 +18,7 @@
     ("date", "today"),
 }
 # Packages that only simulate a network or run a local cluster may do what a node may not.
-SIMULATION_PACKAGES = {"simulator", "emulators", "localcluster", "modelcheck"}
+SIMULATION_PACKAGES = {"simulator", "emulators", "localcluster", "soak", "modelcheck"}
 PRODUCTION_FILES = [path for path in SOURCE_FILES if path.parent.name not in SIMULATION_PACKAGES]
 
 
