A read that an origin works on for a holder is not refused by the edge

Cause: the edge gave its holder 0.6 s or 0.4 of the time left, whatever the holder did; then it withdrew the request, which cut the run off, and fetched by itself, which a used-up rate refused.

The holder now has the request's own deadline. A policy (HolderReadPolicy) waits for a holder as long as it is alive, by what its connection brings and by the member list; beside a silent one the edge fetches as before; a refusal of that fetch is kept back until the holder has ended the read, too. It works because a holder without a token refuses within its own short wait, so one that is alive and has not answered has an origin at work.

--- a/src/irisstand/dataplane/cache/object_holders.py
+++ b/src/irisstand/dataplane/cache/object_holders.py
@@ -1,23 +1,23 @@
 """Object holders: the nodes of a site that fetch objects for its edges, so that each object comes there once.
 
 An edge asks the holder that rendezvous hashing by the object's key chooses among those of its site. A holder
-that does not answer in time is not asked for a while, and the edge fetches by itself.
+from which nothing comes is not asked for a while, and the edge fetches by itself; one that is alive keeps a
+request until the request's own deadline, as an origin may be at work on it.
 """
 
 import asyncio
+import functools
 import typing
 
 from irisstand import errors, node_context
 from irisstand.balancing import rendezvous
-from irisstand.dataplane.cache import holder_messages, object_reader, objects
+from irisstand.dataplane.cache import holder_messages, holder_read, object_reader, objects
+from irisstand.dataplane.retry import events, holder_policy
 from irisstand.dataplane.routing import route_table, routes
 from irisstand.dataplane.upstream import endpoint_pool, upstream_request
 from irisstand.membership import updates
 from irisstand.state import versions
 
-# Of the time that a request has left, what a holder gets: an origin may be asked after it.
-TIME_FRACTION = 0.4
-LONGEST_WAIT_SECONDS = 0.6
 # How long a holder that did not answer is not asked.
 AVOIDANCE_SECONDS = 2.0
 # How long a holder waits for the version of the configuration by which an edge judged a request.
@@ -96,41 +96,35 @@
         minimum_version: versions.Version,
         remaining: float,
         known: objects.CachedObject | None,
-    ) -> objects.CachedObject | None:
-        """Ask the holder of an object for it.
+        fetch_own: holder_read.FetchOwn,
+    ) -> objects.CachedObject:
+        """Return an object from its holder, or from an origin where no other node holds it or that one fails.
 
         Args:
             lookup: What is read.
             minimum_version: The version of the ledger at which the object must have been fetched, or later.
             remaining: Seconds that the request has left.
             known: The object that this node still has, which the holder may confirm.
-
-        Returns:
-            The object, or None where no other node holds it or the holder failed.
+            fetch_own: Fetches the object without a holder, within some seconds.
 
         Raises:
-            errors.LimitExceededError: The holder got no token of the service's rate limit.
+            errors.IrisError: What the holder or this node's own fetch raised. A holder's error that this node
+                may still avoid at an origin is not raised. On an edge it may not where the holder got no
+                token: that one has asked the owners of all, and another holder may have a token of its own.
         """
         # A lookup that another holder sent is sent on to no further holder.
         if lookup.is_forwarded:
-            return None
+            return await fetch_own(remaining)
         holder = self.choose(lookup.route, lookup.service, lookup.key)
         if holder is None:
-            return None
-        request = self.request_for(lookup, minimum_version, remaining, known)
-        asked_at = self.context.clock.now()
-        try:
-            body = await self.context.transport.call(
-                holder.node_info.address,
-                holder.identity.name,
-                holder_messages.OBJECT_REQUEST_KIND,
-                request.to_wire(),
-                request.max_wait,
-            )
-        except errors.IrisError as error:
-            self.on_holder_failed(holder, error)
-            return None
-        return holder_messages.object_from_wire(body, asked_at, known)
+            return await fetch_own(remaining)
+        call = self.ask(holder, self.request_for(lookup, minimum_version, remaining, known), known)
+        look = functools.partial(self.look_at, holder, asyncio.get_running_loop().time())
+        read_policy: holder_read.Policy = holder_policy.HolderReadPolicy(
+            self.context.clock, remaining, is_refusal_final=self.context.role != HOLDER_ROLE
+        )
+        read = holder_read.HolderRead(holder.identity.name, call, fetch_own, look)
+        return await read.run(read_policy)
 
     def request_for(
         self,
@@ -146,28 +140,54 @@
             lookup.request.host,
             lookup.request.target,
             lookup.request.headers,
-            min(LONGEST_WAIT_SECONDS, TIME_FRACTION * remaining),
+            remaining,
             minimum_version,
             object_reader.etag_of(known) or "",
             self.context.configuration.applied,
             self.context.role == HOLDER_ROLE,
         )
 
-    def on_holder_failed(self, holder: updates.Update, error: errors.IrisError) -> None:
-        """Count a failed call, and decide whether this node may fetch by itself.
-
-        An error that the holder met at an origin this node may still avoid, within the time that is left.
+    async def ask(
+        self,
+        holder: updates.Update,
+        request: holder_messages.ObjectRequest,
+        known: objects.CachedObject | None,
+    ) -> objects.CachedObject:
+        """Ask a holder for an object, and count a failure.
 
         Raises:
-            errors.LimitExceededError: On an edge, if the holder got no token. The holder has asked the
-                owners of all tokens: an edge's own fetch would take one of theirs, and bring the object to
-                that edge alone. Another holder may have a token of its own.
+            errors.IrisError: The holder raised it, or the call failed.
         """
-        self.context.counters.add("holder_failures", code=error.code)
-        if error.code in AVOIDANCE_CODES:
-            self.avoided[holder.identity.name] = self.context.clock.now() + AVOIDANCE_SECONDS
-        if error.code == errors.LimitExceededError.code and self.context.role != HOLDER_ROLE:
-            raise error
+        asked_at = self.context.clock.now()
+        name = holder.identity.name
+        try:
+            body = await self.context.transport.call(
+                holder.node_info.address,
+                name,
+                holder_messages.OBJECT_REQUEST_KIND,
+                request.to_wire(),
+                request.max_wait,
+            )
+        except errors.IrisError as error:
+            self.context.counters.add("holder_failures", code=error.code)
+            if error.code in AVOIDANCE_CODES:
+                self.avoid(name)
+            raise
+        return holder_messages.object_from_wire(body, asked_at, known)
+
+    def avoid(self, name: str) -> None:
+        """Ask a holder for nothing more for a while."""
+        self.avoided[name] = self.context.clock.now() + AVOIDANCE_SECONDS
+
+    def look_at(self, holder: updates.Update, asked_at: float) -> events.HolderOverdue:
+        """Return how an overdue holder is, which was asked at a moment of the event loop's clock."""
+        name, address = holder.identity.name, holder.node_info.address
+        is_silent = self.context.transport.is_silent(address, asked_at)
+        if is_silent:
+            self.avoid(name)
+            self.context.transport.retire(address)
+        is_failed = name not in {member.identity.name for member in self.context.members_of(HOLDER_ROLE)}
+        return events.HolderOverdue(is_silent, is_failed)
 
     # -- answering -----------------------------------------------------------------------------------
     def serve(self, reader: object_reader.ObjectReader) -> None:
--- a/src/irisstand/dataplane/cache/object_reader.py
+++ b/src/irisstand/dataplane/cache/object_reader.py
@@ -60,11 +60,15 @@
         return f"{self.request.host}{self.request.path}"
 
 
-# Asks an object's holder: the lookup, the minimum version, the seconds left, and the object known here. It
-# returns None where no other node holds the object, or the holder failed.
-AskHolder = collections.abc.Callable[
-    [ObjectLookup, versions.Version, float, objects.CachedObject | None],
-    collections.abc.Coroutine[typing.Any, typing.Any, objects.CachedObject | None],
+# Fetches an object without a holder, within some seconds.
+FetchOwn = collections.abc.Callable[
+    [float], collections.abc.Coroutine[typing.Any, typing.Any, objects.CachedObject]
+]
+# Fetches an object from its holder: the lookup, the minimum version, the seconds left, the object known here,
+# and what fetches it where no other node holds it, or the holder failed.
+FetchFromHolder = collections.abc.Callable[
+    [ObjectLookup, versions.Version, float, objects.CachedObject | None, FetchOwn],
+    collections.abc.Coroutine[typing.Any, typing.Any, objects.CachedObject],
 ]
 
 
@@ -75,7 +79,7 @@
         context: The node's context.
         view: The configuration in force.
         origins: Sends requests to origins.
-        ask_holder: Asks an object's holder, before an origin is asked.
+        fetch_from_holder: Fetches an object from its holder, if it has one.
     """
 
     def __init__(
@@ -83,12 +87,12 @@
         context: node_context.NodeContext,
         view: snapshot.ConfigurationSnapshot,
         origins: client.UpstreamClient,
-        ask_holder: AskHolder,
+        fetch_from_holder: FetchFromHolder,
     ) -> None:
         self.context = context
         self.view = view
         self.origins = origins
-        self.ask_holder = ask_holder
+        self.fetch_from_holder = fetch_from_holder
         self.header_names = origins.header_names
         self.cache = object_cache.ObjectCache(context.settings.cache_bytes)
         self.coalescer = object_cache.RequestCoalescer()
@@ -159,13 +163,10 @@
         self, lookup: ObjectLookup, minimum_version: versions.Version, remaining: float
     ) -> objects.CachedObject:
         """Fetch the object from its holder, or else from an origin, and keep it in the cache."""
-        started = self.context.clock.now()
         known = self.cache.get(lookup.key)
+        fetch_own = functools.partial(self.fetch_from_origin, lookup, minimum_version, known)
         with self.context.count_in_flight():
-            fetched = await self.ask_holder(lookup, minimum_version, remaining, known)
-            if fetched is None:
-                left = remaining - (self.context.clock.now() - started)
-                fetched = await self.fetch_from_origin(lookup, minimum_version, left, known)
+            fetched = await self.fetch_from_holder(lookup, minimum_version, remaining, known, fetch_own)
         if fetched.ttl > 0:
             self.cache.put(lookup.key, fetched)
         return fetched
@@ -174,8 +175,8 @@
         self,
         lookup: ObjectLookup,
         minimum_version: versions.Version,
-        remaining: float,
         known: objects.CachedObject | None,
+        remaining: float,
     ) -> objects.CachedObject:
         """Fetch the object from an origin, or have the one that is known confirmed by it."""
         known_etag = etag_of(known)
--- a/src/irisstand/dataplane/retry/actions.py
+++ b/src/irisstand/dataplane/retry/actions.py
@@ -29,6 +29,10 @@
     minimum_version: versions.Version
 
 
+class FetchOwn(typing.NamedTuple):
+    """Fetch the object from an origin without the holder, in the time that is left."""
+
+
 class Wait(typing.NamedTuple):
     """Wait until an attempt in flight ends, or for `seconds`."""
 
--- a/src/irisstand/dataplane/retry/events.py
+++ b/src/irisstand/dataplane/retry/events.py
@@ -52,5 +52,26 @@
     error: errors.IrisError
 
 
+class HolderFailed(typing.NamedTuple):
+    """The object holder that was asked ended the read with an error, or the call to it broke."""
+
+    error: errors.IrisError
+
+
+class HolderOverdue(typing.NamedTuple):
+    """The time of the last `Wait` has passed, and the holder has not answered.
+
+    `is_silent` is True if nothing came from the holder meanwhile, `is_failed` if it is declared failed.
+    """
+
+    is_silent: bool
+    is_failed: bool
+
+
+class OwnFetchStarted(typing.NamedTuple):
+    """This node has begun to fetch the object by itself."""
+
+
 STARTED = Started()
+OWN_FETCH_STARTED = OwnFetchStarted()
 TIMER_EXPIRED = TimerExpired()
--- /dev/null
+++ b/src/irisstand/dataplane/retry/holder_policy.py
@@ -0,0 +1,98 @@
+"""Policy of a read that an object holder was asked for: how long it is waited for, and what follows then.
+
+The holder works with the request's own deadline. It says soon if it can send nothing; so one that is alive
+and has not answered has an origin at work on the request, which no shorter time-out may break off.
+"""
+
+import typing
+
+from irisstand import clocks, errors
+from irisstand.dataplane.retry import actions, events, policy
+
+# Of the time that a request has left, what passes before the holder is looked at.
+PATIENCE_FRACTION = 0.4
+LONGEST_PATIENCE_SECONDS = 0.6
+# How often it is looked at after that.
+CHECK_INTERVAL_SECONDS = 0.5
+NOT_RUN_STATUS = 503
+
+ResponseT = typing.TypeVar("ResponseT")
+HolderAction = actions.FetchOwn | actions.Wait
+Action = HolderAction | actions.Respond[ResponseT] | actions.Reject
+Event = (
+    events.Started
+    | events.OwnFetchStarted
+    | events.ResponseReceived[ResponseT]
+    | events.HolderFailed
+    | events.HolderOverdue
+    | events.AttemptFailed
+)
+
+
+class HolderReadPolicy(policy.DeadlinePolicy, typing.Generic[ResponseT]):
+    """Waits for a holder that is alive until the deadline; fetches beside one that is silent.
+
+    A refusal of this node's own fetch is given to the client only once the holder has ended the read, too.
+
+    Args:
+        clock: Moments in seconds.
+        remaining: Seconds until the deadline of the request.
+        is_refusal_final: Whether this node does not fetch by itself after the holder got no token.
+    """
+
+    def __init__(self, clock: clocks.Clock, remaining: float, *, is_refusal_final: bool) -> None:
+        super().__init__(clock, clock.now() + remaining)
+        self.is_refusal_final = is_refusal_final
+        self.patience = min(LONGEST_PATIENCE_SECONDS, PATIENCE_FRACTION * remaining)
+        self.is_holder_asked = True
+        self.is_fetching = False
+        self.own_error: errors.IrisError | None = None
+
+    def decide(self, event: Event[ResponseT]) -> Action[ResponseT]:
+        """Take note of `event` and return what to do next."""
+        match event:
+            case events.Started():
+                return actions.Wait(self.patience)
+            case events.OwnFetchStarted():
+                self.is_fetching = True
+                return self.wait()
+            case events.ResponseReceived():
+                return actions.Respond(event.response)
+            case events.HolderFailed():
+                return self.on_holder_failed(event.error)
+            case events.HolderOverdue():
+                return self.on_holder_overdue(event)
+            case events.AttemptFailed():
+                return self.on_own_fetch_failed(event.error)
+
+    def wait(self) -> Action[ResponseT]:
+        """Wait for whatever is in flight; the holder is looked at now and then."""
+        if self.remaining() <= 0:
+            return policy.deadline_rejection("an origin")
+        return actions.Wait(min(self.remaining(), CHECK_INTERVAL_SECONDS))
+
+    def on_holder_failed(self, error: errors.IrisError) -> Action[ResponseT]:
+        """Fetch by itself, unless that is under way or the holder's refusal holds for this node, too."""
+        self.is_holder_asked = False
+        if self.is_fetching:
+            return self.wait()
+        if self.own_error is not None:
+            return actions.Reject(self.own_error)
+        if self.is_refusal_final and isinstance(error, errors.LimitExceededError):
+            return actions.Reject(error)
+        return actions.FetchOwn()
+
+    def on_holder_overdue(self, event: events.HolderOverdue) -> Action[ResponseT]:
+        """Go on waiting for a holder that is alive, fetch beside a silent one, and give up a failed one."""
+        if event.is_failed and self.is_holder_asked:
+            return self.on_holder_failed(errors.UnansweredError("the holder is declared failed"))
+        has_run = self.own_error is not None and self.own_error.status != NOT_RUN_STATUS
+        if self.is_fetching or has_run or not event.is_silent:
+            return self.wait()
+        return actions.FetchOwn()
+
+    def on_own_fetch_failed(self, error: errors.IrisError) -> Action[ResponseT]:
+        """Wait for the holder, which may have an origin at work, or give up."""
+        self.is_fetching = False
+        self.own_error = error
+        return self.wait() if self.is_holder_asked else actions.Reject(error)
--- a/src/irisstand/transport/peers.py
+++ b/src/irisstand/transport/peers.py
@@ -59,6 +59,17 @@
             self.connections[address] = connection
             return connection
 
+    def is_silent(self, address: network.Address, since: float) -> bool:
+        """Return whether nothing at all has come from a peer since a moment of the event loop's clock."""
+        connection = self.connections.get((address[0], address[1]))
+        return connection is None or connection.last_received_at < since
+
+    def retire(self, address: network.Address) -> None:
+        """Send no new requests on the connection to a peer; what is pending there may still be answered."""
+        connection = self.connections.get((address[0], address[1]))
+        if connection is not None and connection.is_usable_for(""):
+            connection.close_when_idle()
+
     async def call(  # noqa: PLR0913, PLR0917 - who, what and how long are all needed, and every caller gives them
         self,
         address: network.Address,
--- /dev/null
+++ b/tests/dataplane/test_holder_policy.py
@@ -0,0 +1,60 @@
+"""Decisions on a read that a holder was asked for: the playbook of events in and actions out."""
+
+import pytest
+
+from irisstand import errors
+from irisstand.dataplane.retry import actions, events, holder_policy
+
+
+class Clock:
+    def __init__(self):
+        self.time = 0.0
+
+    def now(self):
+        return self.time
+
+
+FULL = errors.LimitExceededError("full")
+GONE = errors.UnansweredError("gone")
+FAILED = errors.OriginFailedError("failed")
+STARTED, OWN = events.STARTED, events.OWN_FETCH_STARTED
+BUSY = events.HolderOverdue(is_silent=False, is_failed=False)
+SILENT = events.HolderOverdue(is_silent=True, is_failed=False)
+DEAD = events.HolderOverdue(is_silent=True, is_failed=True)
+FETCH = actions.FetchOwn()
+
+
+def last_action(*happened, is_refusal_final=True):
+    policy = holder_policy.HolderReadPolicy(Clock(), 5.0, is_refusal_final=is_refusal_final)
+    return [policy.decide(event) for event in happened][-1]
+
+
+@pytest.mark.parametrize(
+    ("happened", "expected"),
+    [
+        ((STARTED,), actions.Wait(0.6)),
+        ((STARTED, events.ResponseReceived("whole", "h")), actions.Respond("whole")),
+        ((STARTED, BUSY, BUSY, BUSY), actions.Wait(0.5)),
+        ((STARTED, SILENT), FETCH),
+        ((STARTED, SILENT, OWN, SILENT), actions.Wait(0.5)),
+        ((STARTED, events.HolderFailed(FULL)), actions.Reject(FULL)),
+        ((STARTED, events.HolderFailed(GONE)), FETCH),
+        ((STARTED, DEAD), FETCH),
+        # A refusal of this node's own is kept back while the holder may have an origin at work.
+        ((STARTED, SILENT, OWN, events.AttemptFailed(FULL, "")), actions.Wait(0.5)),
+        (
+            (STARTED, SILENT, OWN, events.AttemptFailed(FULL, ""), events.HolderFailed(GONE)),
+            actions.Reject(FULL),
+        ),
+        # What has not run may be tried again; what may have run is not sent once more.
+        ((STARTED, SILENT, OWN, events.AttemptFailed(FULL, ""), SILENT), FETCH),
+        ((STARTED, SILENT, OWN, events.AttemptFailed(FAILED, ""), SILENT), actions.Wait(0.5)),
+        ((STARTED, SILENT, OWN, events.AttemptFailed(FAILED, ""), DEAD), actions.Reject(FAILED)),
+    ],
+)
+def test_holder_that_is_alive_is_waited_for_and_a_silent_one_is_fetched_beside(happened, expected):
+    assert last_action(*happened) == expected
+
+
+def test_holder_that_got_no_token_from_another_one_fetches_by_itself():
+    assert last_action(STARTED, events.HolderFailed(FULL), is_refusal_final=False) == FETCH
--- a/tests/dataplane/test_reads_through_holders.py
+++ b/tests/dataplane/test_reads_through_holders.py
@@ -18,11 +18,18 @@
     node.part.endpoints.enter = refuse
 
 
+def send_each_read_once(site):
+    """Let no node send a hedged request, so that each run belongs to one fetch."""
+    for node in site.nodes.values():
+        node.route("objects", kind="cacheable", attempts=1)
+
+
 @pytest.mark.parametrize("is_stopping", [False, True])
 @pytest.mark.parametrize("seconds", [0.7, 1.8])
 def test_edge_does_not_refuse_a_read_that_an_origin_works_on_for_its_holder(seconds, is_stopping):
     async def scene(site):
         origins = departing_clients.WorkingOrigins(site.nodes["holder-1"], seconds)
+        send_each_read_once(site)
         leave_no_token(site.nodes["edge-1"])
         site.nodes["edge-1"].context.is_draining = is_stopping
         answer = await site.nodes["edge-1"].ask("/objects/1")
@@ -33,6 +40,7 @@
 
 def test_holder_does_not_break_off_a_read_that_an_origin_works_on_for_another_holder():
     async def scene(site):
+        send_each_read_once(site)
         fetching = [departing_clients.WorkingOrigins(site.nodes[f"holder-{n}"], 0.5) for n in (1, 2)]
         for node in site.nodes.values():
             node.part.endpoints.is_scarce = lambda service: True
--- a/tests/mutation/direct_edge_mutations.py
+++ b/tests/mutation/direct_edge_mutations.py
@@ -224,5 +224,17 @@
         "        if False:",
         "transport/test_incarnations.py",
     ),
+    (
+        "dataplane/retry/holder_policy.py",
+        "        return self.wait() if self.is_holder_asked else actions.Reject(error)",
+        "        return actions.Reject(error)",
+        "dataplane/test_reads_through_holders.py::test_edge_does_not_refuse_a_read_that_an_origin_works_on_for_its_holder",
+    ),
+    (
+        "dataplane/retry/holder_policy.py",
+        "        if self.is_fetching or has_run or not event.is_silent:",
+        "        if self.is_fetching or has_run:",
+        "dataplane/test_holder_policy.py",
+    ),
     ("process_runner.py", "    bound_end(context.settings)\n", "", "programs/test_shutdown.py"),
 ]
