A read that shared a fetch is not refused when an earlier request's time is over

The origin was told the earlier deadline, so the run cannot be prolonged; the later request begins a fetch of its own.

--- a/src/irisstand/dataplane/cache/object_cache.py
+++ b/src/irisstand/dataplane/cache/object_cache.py
@@ -72,6 +72,10 @@
     def __init__(self) -> None:
         self.in_flight: dict[typing.Hashable, SharedFetch] = {}
 
+    def is_in_flight(self, key: typing.Hashable) -> bool:
+        """Return whether a fetch with this key is in flight."""
+        return key in self.in_flight
+
     async def join(
         self,
         key: typing.Hashable,
@@ -86,7 +90,7 @@
         Raises:
             Exception: Whatever the fetch raises.
         """
-        if key not in self.in_flight:
+        if not self.is_in_flight(key):
             task = asyncio.get_running_loop().create_task(fetch())
             self.in_flight[key] = SharedFetch(task)
             task.add_done_callback(lambda done: self.on_done(key, done))
--- a/src/irisstand/dataplane/cache/object_reader.py
+++ b/src/irisstand/dataplane/cache/object_reader.py
@@ -151,13 +151,21 @@
         Raises:
             errors.DeadlineExceededError: It did not come within `remaining` seconds.
         """
-        fetch = functools.partial(self.fetch, lookup, minimum_version, remaining)
-        shared = self.coalescer.join((lookup.key, minimum_version, lookup.is_forwarded), fetch)
-        try:
-            async with asyncio.timeout(max(MIN_TIMEOUT_SECONDS, remaining)):
-                return await shared
-        except TimeoutError:
-            raise errors.DeadlineExceededError("no origin gave a whole answer in time") from None
+        deadline = self.context.clock.now() + remaining
+        key = (lookup.key, minimum_version, lookup.is_forwarded)
+        while True:
+            left = deadline - self.context.clock.now()
+            is_joined = self.coalescer.is_in_flight(key)
+            fetch = functools.partial(self.fetch, lookup, minimum_version, left)
+            try:
+                async with asyncio.timeout(max(MIN_TIMEOUT_SECONDS, left)):
+                    return await self.coalescer.join(key, fetch)
+            except TimeoutError:
+                raise errors.DeadlineExceededError("no origin gave a whole answer in time") from None
+            except errors.DeadlineExceededError:
+                # The deadline of the request that began the fetch, which may have been an earlier one.
+                if not is_joined or deadline - self.context.clock.now() < MIN_REMAINING_SECONDS:
+                    raise
 
     async def fetch(
         self, lookup: ObjectLookup, minimum_version: versions.Version, remaining: float
