A stopping edge answers what it has read, and sends on only what it can finish

Cause: in role direct nothing followed is_draining and drain_ending. New work was sent on during the drain, and what still waited when its time was over was cut off. Now the listener refuses what comes whole during the drain, with 503 and when to come back; a guard (DrainGuard) ends what waits: 0.3 s before the end what was not sent on, at the end reads at origins and holders. Never a write that an origin may have begun, nor a request whose result has just come in.

Tests: test_stopping_edges, 7 cases. On the code before: no admission check, no guard; the mutations that take them out are seen by these tests.

--- a/src/irisstand/dataplane/cache/object_holders.py
+++ b/src/irisstand/dataplane/cache/object_holders.py
@@ -124,7 +124,9 @@
             self.context.clock, remaining, is_refusal_final=self.context.role != HOLDER_ROLE
         )
         read = holder_read.HolderRead(holder.identity.name, call, fetch_own, look)
-        return await read.run(read_policy)
+        # The holder has it, so it is in flight until the very end.
+        with self.context.drain_guard.refuse_at_end(is_unsent=lambda: False, may_end=lambda: True):
+            return await read.run(read_policy)
 
     def request_for(
         self,
--- a/src/irisstand/dataplane/http/listener.py
+++ b/src/irisstand/dataplane/http/listener.py
@@ -8,7 +8,7 @@
 import sanic.request
 import sanic.response
 
-from irisstand import errors, event_log, node_context, node_settings
+from irisstand import drain_guard, errors, event_log, node_context, node_settings
 from irisstand.dataplane.http import client_departures
 from irisstand.dataplane.nodes import direct
 
@@ -179,6 +179,7 @@
         """Return the response to a request, whatever happens; only a client that leaves ends this."""
         started_at = self.context.clock.now()
         try:
+            self.check_admission()
             status, headers, body = await self.node.handle(request)
         except errors.IrisError as error:
             self.count_own_answer(error, started_at)
@@ -198,6 +199,15 @@
         content_type = headers.get("content-type", DEFAULT_CONTENT_TYPE)
         return sanic.response.HTTPResponse(body, status, forwarded, content_type)
 
+    def check_admission(self) -> None:
+        """Refuse new work during a drain: what is sent on now might not be answered before its end.
+
+        Raises:
+            errors.DrainingError: The node is draining.
+        """
+        if self.context.is_draining:
+            raise drain_guard.draining_error()
+
     def count_own_answer(self, error: errors.IrisError, started_at: float) -> None:
         """Count an answer of this node's own by code, stage of a shutdown, and whether it came late."""
         is_late = self.context.clock.now() - started_at > LATE_ANSWER_SECONDS
--- a/src/irisstand/dataplane/upstream/client.py
+++ b/src/irisstand/dataplane/upstream/client.py
@@ -63,6 +63,17 @@
         by_target = RATE_WAIT_TARGET_FACTOR * self.route.target
         return min(by_target, RATE_WAIT_REMAINING_FACTOR * self.retry_policy.remaining())
 
+    def is_unsent(self) -> bool:
+        """Return whether nothing of the request has left for an origin, and no result waits to be taken."""
+        return not any(task.done() or attempt.may_have_sent for task, attempt in self.running.items())
+
+    def may_withdraw(self) -> bool:
+        """Return whether all attempts in flight may be cut off; one that has just ended may have run."""
+        may_withdraw = self.retry_policy.may_withdraw
+        return all(
+            not task.done() and may_withdraw(attempt.may_have_sent) for task, attempt in self.running.items()
+        )
+
 
 class Choice(typing.NamedTuple):
     """An endpoint that may be used now, and after how many seconds under the service's rate limit."""
@@ -114,19 +125,22 @@
             IrisError: the request is rejected.
         """
         call = Call(route, service, request, headers, self.policy_for(route, service, remaining))
+        with self.context.drain_guard.refuse_at_end(call.is_unsent, call.may_withdraw):
+            decision = await self.decide(call)
+        if isinstance(decision, actions.Reject):
+            self.context.counters.add("rejected", code=decision.error.code)
+            raise decision.error
+        return decision.response
+
+    async def decide(self, call: Call) -> actions.Respond[exchange.Answer] | actions.Reject:
+        """Carry out what the request's policy decides until it responds or rejects."""
         try:
-            decision: actions.Respond[exchange.Answer] | actions.Reject = await policy.execute(
-                call.retry_policy, functools.partial(self.perform, call)
-            )
+            return await policy.execute(call.retry_policy, functools.partial(self.perform, call))
         except asyncio.CancelledError:
             # Nobody waits for the request any more: its client left, or the node that asked for it.
             for task, attempt in call.running.items():
                 self.attempts.give_up(task, attempt, call.retry_policy)
             raise
-        if isinstance(decision, actions.Reject):
-            self.context.counters.add("rejected", code=decision.error.code)
-            raise decision.error
-        return decision.response
 
     def policy_for(
         self, route: routes.Route, service: str, remaining: float
--- a/src/irisstand/node_context.py
+++ b/src/irisstand/node_context.py
@@ -6,7 +6,7 @@
 import random
 import typing
 
-from irisstand import clocks, counters, event_log, node_settings, node_tables, setting_parsers
+from irisstand import clocks, counters, drain_guard, event_log, node_settings, node_tables, setting_parsers
 from irisstand.membership import detector, joining, updates
 from irisstand.transport import network, peers
 
@@ -29,6 +29,7 @@
         in_flight: How many pieces of work somebody waits for; a drain lasts until there is none.
         has_pending_work: Called during a drain; returns whether more work may come on an open connection.
         drain_ending: Done when the time of a drain is nearly over: what is in flight is to be answered now.
+        drain_guard: Ends clients' requests then: first those of which nothing was sent, at last the others.
         crashed: Fails with the error of the first controller that crashed; None until the node is open.
         close_callbacks: Called at the very end, to give up what would keep the process alive.
         tasks: The controllers in the order of their start; a set would give another order in every run.
@@ -68,6 +69,7 @@
         self.in_flight = 0
         self.has_pending_work: collections.abc.Callable[[], bool] = lambda: False
         self.drain_ending: asyncio.Future[None] | None = None
+        self.drain_guard = drain_guard.DrainGuard()
         self.crashed: asyncio.Future[None] | None = None
         self.close_callbacks: list[collections.abc.Callable[[], None]] = []
         self.tasks: dict[asyncio.Task[typing.Any], None] = {}
@@ -177,10 +179,12 @@
             in_flight=self.in_flight,
             connections=self.has_pending_work(),
         )
+        self.drain_guard.refuse_rest()
         self.detector.leave()
         await asyncio.sleep(LEAVE_SECONDS)
 
     def _announce_drain_ending(self) -> None:
+        self.drain_guard.refuse_unsent()
         if self.drain_ending is not None and not self.drain_ending.done():
             self.drain_ending.set_result(None)
 
--- a/tests/mutation/direct_edge_mutations.py
+++ b/tests/mutation/direct_edge_mutations.py
@@ -236,5 +236,18 @@
         "        if self.is_fetching or has_run:",
         "dataplane/test_holder_policy.py",
     ),
+    (
+        "dataplane/http/listener.py",
+        "            self.check_admission()\n",
+        "",
+        "dataplane/test_stopping_edges.py",
+    ),
+    (
+        "dataplane/upstream/client.py",
+        "            not task.done() and may_withdraw(attempt.may_have_sent) for",
+        "            may_withdraw(may_have_sent=False) for",
+        "dataplane/test_stopping_edges.py",
+    ),
+    ("node_context.py", "        self.drain_guard.refuse_unsent()\n", "", "dataplane/test_stopping_edges.py"),
     ("process_runner.py", "    bound_end(context.settings)\n", "", "programs/test_shutdown.py"),
 ]
