One more signal does not end a process at its start or in its last steps

Cause, the same for both: while no handler is there, the signals' defaults end a process: before the event loop runs, and once the interpreter, on its way down, has given back the defaults.

Evidence: test_hang_up_between_start_and_settings_does_not_end_the_process and test_signal_in_the_last_steps_of_a_stop_does_not_change_how_it_ends ended with -1 on the code before.

--- a/src/irisstand/process_runner.py
+++ b/src/irisstand/process_runner.py
@@ -40,6 +40,8 @@
     """
 
     def callback(settings: str | None, **flags: typing.Any) -> None:
+        ignore_hang_up()
+
         def read_settings() -> node_settings.Settings:
             from_file = node_settings.read_file(settings) if settings else {}
             # Flags win over the file.
@@ -72,6 +74,14 @@
     return options
 
 
+def ignore_hang_up() -> None:
+    """Ignore SIGHUP until the node follows it: the settings are only read after this, so nothing is missed.
+
+    A program calls this before its slow imports, since the signal's default ends a process.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def run(
     settings: node_settings.Settings, assemble: Assemble, read_settings: ReadSettings | None = None
 ) -> int:
@@ -128,12 +138,20 @@
     if crashed.done():
         return _report_crash(crashed.exception(), log)
     await _shut_down(context, stop_listening)
+    _ignore_further_signals(loop)
     # Counted since the start of this process, and lost with it.
     event_log.record("counters", values=context.counters.by_text())
     log.write_out("SIGTERM")
     return EXIT_OK
 
 
+def _ignore_further_signals(loop: asyncio.AbstractEventLoop) -> None:
+    # The loop would give back their defaults, which end the process in place of its last steps.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
 def _report_crash(error: BaseException | None, log: event_log.EventLog) -> int:
     if isinstance(error, errors.PortTakenError):
         print(f"irisstand: {error}; {error.remedy}", file=sys.stderr)
--- a/tests/programs/test_shutdown.py
+++ b/tests/programs/test_shutdown.py
@@ -1,5 +1,8 @@
-"""A planned end is over in its time, whatever is still stuck in the process."""
+"""Starts and planned ends: over in their time, and not cut short by one more signal."""
 
+import os
+import pathlib
+import signal
 import subprocess
 import sys
 import time
@@ -14,12 +17,25 @@
     loop.run_in_executor(None, threading.Event().wait, 20)
     loop.call_later(0.1, os.kill, os.getpid(), signal.SIGTERM)
     context = types.SimpleNamespace(
-        settings=settings, crashed=loop.create_future(), drain=nothing, close=nothing, is_lame_duck=False
+        settings=settings, crashed=loop.create_future(), drain=nothing, close=nothing, is_lame_duck=False,
+        counters=types.SimpleNamespace(by_text=dict),
     )
     return context, nothing
 
 sys.exit(running.run(types.SimpleNamespace(farewell=0.1, drain=0.5), assemble))
 """
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+# The same without the stuck thread, and with signals while the interpreter takes itself down.
+SIGNALLED_AT_THE_END = f"""{STUCK.replace("    loop.run_in_executor(None, threading.Event().wait, 20)", "")}
+class Last:
+    def __del__(self, kill=os.kill, pid=os.getpid()):
+        kill(pid, {int(signal.SIGHUP)})
+        kill(pid, {int(signal.SIGTERM)})
+"""
+# Made before the program ends, and deleted with its module.
+SIGNALLED_AT_THE_END = (
+    SIGNALLED_AT_THE_END.replace("sys.exit(", "code = (") + "last = Last()\nsys.exit(code)\n"
+)
 
 
 def test_stuck_thread_does_not_keep_the_process_beyond_its_shutdown_time():
@@ -27,3 +43,25 @@
     done = subprocess.run([sys.executable, "-c", STUCK], capture_output=True, text=True, timeout=60)
     assert done.returncode == 0, done.stderr
     assert time.monotonic() - started < 12
+
+
+def test_signal_in_the_last_steps_of_a_stop_does_not_change_how_it_ends():
+    command = [sys.executable, "-c", SIGNALLED_AT_THE_END]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+    assert done.returncode == 0, done.stderr
+
+
+def test_hang_up_between_start_and_settings_does_not_end_the_process(tmp_path):
+    # The process waits for its settings when this end of the pipe can be opened.
+    pipe = tmp_path / "settings.toml"
+    os.mkfifo(pipe)
+    process = subprocess.Popen(
+        [sys.executable, "platform/edge_node.py"],
+        cwd=ROOT,
+        env={**os.environ, "IRISSTAND_CONFIG": str(pipe)},
+        stderr=subprocess.DEVNULL,
+    )
+    with open(pipe, "w", encoding="utf-8") as settings:
+        process.send_signal(signal.SIGHUP)
+        settings.write("these are no settings")
+    assert process.wait(60) == 2
