An answer that a client takes in slowly is not cut off by the close of its connection

Callers that read slowly saw half an answer, and then the end of the connection (LOST, first form), where the connection was to be closed after the answer: asked for by the client, or during a stop, when all answers go so. Cause: sanic aborts a closing connection 5 s after its close, whatever is still on its way; its limit of 120 s for a response is of the same kind.

Both limits are now out of the way (a request has a deadline of its own), and a closing connection is aborted only when its client has taken in nothing for the operators' idle limit. Tests: test_closing_connections.

--- a/src/irisstand/dataplane/http/listener.py
+++ b/src/irisstand/dataplane/http/listener.py
@@ -9,14 +9,17 @@
 import sanic.response
 
 from irisstand import drain_guard, errors, event_log, node_context, node_settings
-from irisstand.dataplane.http import client_departures
+from irisstand.dataplane.http import client_departures, closing_connections, messages
 from irisstand.dataplane.nodes import direct
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 # Sanic writes these headers itself.
 SANIC_HEADERS = frozenset(("connection", "keep-alive", "content-length", "transfer-encoding", "content-type"))
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
-RESPONSE_TIMEOUT_SECONDS = 120
+# Sanic's own limits are out of the way: a request has a deadline of its own, of a day at the most, and what
+# may hold up a close is watched by `closing_connections`.
+RESPONSE_TIMEOUT_SECONDS = 100_000
+CLOSE_TIMEOUT_SECONDS = 100_000
 # The least time for a request's head and for a connection at rest, whatever the operators set.
 MIN_TIMEOUT_SECONDS = 1.0
 OPENING_CHECK_SECONDS = 0.02
@@ -53,6 +56,7 @@
                 "MOTD": False,
                 "ACCESS_LOG": False,
                 "RESPONSE_TIMEOUT": RESPONSE_TIMEOUT_SECONDS,
+                "GRACEFUL_TCP_CLOSE_TIMEOUT": CLOSE_TIMEOUT_SECONDS,
                 "TOUCHUP": False,
             }
         )
@@ -61,6 +65,9 @@
         self.app.error_handler.add(Exception, self.on_error)
         self.add_routes()
         context.close_callbacks.append(self.abort_connections)
+        self.closing = closing_connections.ClosingConnections(
+            context.clock.now, lambda: self.server.connections, self.idle_seconds
+        )
 
     def add_routes(self) -> None:
         """Serve all paths; streamed, so that this listener counts the time for a body itself."""
@@ -81,10 +88,14 @@
                 "REQUEST_MAX_SIZE": limits.body_bytes,
                 "REQUEST_MAX_HEADER_SIZE": limits.header_bytes,
                 "REQUEST_TIMEOUT": max(MIN_TIMEOUT_SECONDS, limits.header),
-                "KEEP_ALIVE_TIMEOUT": max(MIN_TIMEOUT_SECONDS, limits.idle),
+                "KEEP_ALIVE_TIMEOUT": self.idle_seconds(),
             }
         )
 
+    def idle_seconds(self) -> float:
+        """Return how long a client may send or take in nothing."""
+        return max(MIN_TIMEOUT_SECONDS, self.node.table.limits.idle)
+
     # -- listening -----------------------------------------------------------------------------------
     async def open_when_current(self) -> None:
         """Listen as soon as the tables are current: before that, the node would only refuse requests.
@@ -107,6 +118,7 @@
             )
             await self.server.startup()
             await self.server.start_serving()
+            self.context.start_task(self.closing.run(), "closing connections")
         except OSError as error:
             raise errors.PortTakenError(str(error)) from None
 
@@ -149,7 +161,7 @@
         left = self.node.table.limits.body_bytes
         while stream.request_body:
             try:
-                async with asyncio.timeout(max(MIN_TIMEOUT_SECONDS, self.node.table.limits.idle)):
+                async with asyncio.timeout(self.idle_seconds()):
                     piece = await stream.read()
             except TimeoutError:
                 # Else the rest of it would be waited for again before the connection could close.
@@ -165,7 +177,7 @@
     async def serve(self, request: sanic.request.Request) -> sanic.response.HTTPResponse:
         """Answer a request; sanic cancels this when the client leaves, and the request ends with it."""
         body = await self.read_body(request)
-        headers = joined_headers(request)
+        headers = messages.joined_headers(request)
         host = headers.pop("host", "")
         asked = direct.Request(request.method, request.raw_url, host, headers, body)
         with self.context.count_in_flight(), client_departures.counted(self.context.counters):
@@ -183,18 +195,20 @@
             status, headers, body = await self.node.handle(request)
         except errors.IrisError as error:
             self.count_own_answer(error, started_at)
-            return error_response(error)
+            return messages.error_response(error)
         except asyncio.CancelledError:
             if client_departures.is_cancelled():
                 raise
             # Something that this request shared was cancelled; to sanic it would look like a client that
             # left.
             self.context.counters.add("requests_crashed")
-            return error_response(errors.OutcomeUnknownError("what this request waited for was given up"))
+            return messages.error_response(
+                errors.OutcomeUnknownError("what this request waited for was given up")
+            )
         except Exception as error:  # A fault of this software ends one request, and not the node.
             event_log.record("crash", error=repr(error))
             self.context.counters.add("requests_crashed")
-            return error_response(errors.OutcomeUnknownError("an error of this node's own"))
+            return messages.error_response(errors.OutcomeUnknownError("an error of this node's own"))
         forwarded = {name: value for name, value in headers.items() if name not in SANIC_HEADERS}
         content_type = headers.get("content-type", DEFAULT_CONTENT_TYPE)
         return sanic.response.HTTPResponse(body, status, forwarded, content_type)
@@ -226,20 +240,3 @@
         remedy = "send what the operators' page describes, within its limits"
         content = {"code": f"http-{status}", "message": str(error), "remedy": remedy}
         return sanic.response.json(content, status)
-
-
-def joined_headers(request: sanic.request.Request) -> dict[str, str]:
-    """Return a request's headers, names in lower case, repeated ones joined by commas."""
-    headers: dict[str, str] = {}
-    for name, value in request.headers.items():
-        key = name.lower()
-        headers[key] = f"{headers[key]}, {value}" if key in headers else value
-    return headers
-
-
-def error_response(error: errors.IrisError) -> sanic.response.HTTPResponse:
-    """Return the response that reports an error, with Retry-After to a hundredth of a second."""
-    headers = {"Cache-Control": "no-store"}
-    if error.retry_after:
-        headers["Retry-After"] = f"{error.retry_after:.2f}"
-    return sanic.response.json(error.to_json(), error.status, headers)
