The time of a holder's work does not count twice in the age of its object

Cause: a holder told the age of the object at the moment of its answer, and the asking node added all the time since its request, so each hop counted the work once more; the object came in as expired, was fetched again, and that fetch got no token. It did not show while a holder had 0.6 s at the most.

The age is now told for the moment at which the request came; the asking node adds the same as before, so the sum is the true age and the ways there and back.

--- a/src/irisstand/dataplane/cache/holder_messages.py
+++ b/src/irisstand/dataplane/cache/holder_messages.py
@@ -84,18 +84,24 @@
     ttl: float
 
     @classmethod
-    def of(cls, content: objects.CachedObject, now: float) -> typing.Self:
-        """Return the freshness of an object at a moment of this node's clock."""
-        return cls(content.applied, content.age_now(now), content.ttl)
+    def of(cls, content: objects.CachedObject, received_at: float) -> typing.Self:
+        """Return the freshness of an object at the moment at which its request came."""
+        return cls(content.applied, content.age_now(received_at), content.ttl)
 
     def to_wire(self) -> tuple[typing.Any, ...]:
         """Return the response."""
         return (NOT_MODIFIED_RESPONSE_KIND, (tuple(self.applied), self.age, self.ttl))
 
 
-def response_with(content: objects.CachedObject, now: float) -> tuple[typing.Any, ...]:
-    """Return a response with the complete object."""
-    return (OBJECT_RESPONSE_KIND, objects.to_wire(content, now))
+def response_with(content: objects.CachedObject, received_at: float) -> tuple[typing.Any, ...]:
+    """Return a response with the complete object.
+
+    Args:
+        content: The object.
+        received_at: When its request came. The age is given for that moment, and is below zero for an object
+            that was fetched later: whoever asked adds all the time since its request.
+    """
+    return (OBJECT_RESPONSE_KIND, objects.to_wire(content, received_at))
 
 
 def object_from_wire(
--- a/src/irisstand/dataplane/cache/object_holders.py
+++ b/src/irisstand/dataplane/cache/object_holders.py
@@ -205,6 +205,7 @@
             errors.StaleConfigurationError: This node's configuration is not the one by which the other
                 judged.
         """
+        received_at = self.context.clock.now()
         asked = holder_messages.ObjectRequest.from_wire(body)
         if self.context.is_draining:
             raise errors.DrainingError("this holder is shutting down")
@@ -212,10 +213,10 @@
         content = await typing.cast(object_reader.ObjectReader, self.reader).read(
             self.lookup_for(asked), asked.minimum_version
         )
-        now = self.context.clock.now()
+        # The asking node counts from its request on, so the time of this one's work must not count twice.
         if asked.known_etag and content.ttl > 0 and object_reader.etag_of(content) == asked.known_etag:
-            return holder_messages.NotModified.of(content, now).to_wire()
-        return holder_messages.response_with(content, now)
+            return holder_messages.NotModified.of(content, received_at).to_wire()
+        return holder_messages.response_with(content, received_at)
 
     def lookup_for(self, asked: holder_messages.ObjectRequest) -> object_reader.ObjectLookup:
         """Return the lookup that a request asks for, if this node's routes allow it.
--- a/tests/dataplane/test_reads_through_holders.py
+++ b/tests/dataplane/test_reads_through_holders.py
@@ -64,3 +64,17 @@
         return long.status
 
     assert play(scene, holders=0) == 200
+
+
+@pytest.mark.parametrize("seconds", [1.8])
+def test_object_that_took_long_to_fetch_does_not_count_its_way_through_holders_as_age_twice(seconds):
+    async def scene(site):
+        for node in site.nodes.values():
+            node.route("objects", kind="cacheable", attempts=1, cache_life=2.5)
+            node.part.endpoints.is_scarce = lambda service: True
+            departing_clients.WorkingOrigins(node, seconds)
+        statuses = [(await site.nodes["edge-1"].ask(f"/objects/{number}")).status for number in range(4)]
+        return statuses, sum(site.sent().values())
+
+    # Some of the objects go from holder to holder; none is fetched again for its age.
+    assert play(scene, holders=2, holder_2="south")[0] == [200] * 4
