A holder that stops has all of its grace for the reads that it began

Cause: the time to drain was the grace less the long farewell of an edge for all programs, so a holder, whose farewell is short, ended 3.5 s after SIGTERM with an origin still at work, and the edge's own fetch got no token. Farewell and drain of edges and holders now add up to the grace less 0.5 s; edges and control plane nodes keep their times.

test_holder_has_as_much_of_the_grace_for_reads_in_flight_as_an_edge failed before with 3.5 s in place of 5.5 s. What is still open: a read that lasts beyond that.

--- a/src/irisstand/soak/fleet.py
+++ b/src/irisstand/soak/fleet.py
@@ -72,7 +72,7 @@
             "http_port": HTTP_PORT,
             "seeds": [f"{node.host}:{PORT}" for node in control[:3]],
             "farewell": farewell,
-            "drain": shape.DRAIN_SECONDS,
+            "drain": shape.SHUTDOWN_SECONDS - farewell,
         }
         if place.role == "agency":
             data = self.folder / place.name
--- a/src/irisstand/soak/shape.py
+++ b/src/irisstand/soak/shape.py
@@ -7,7 +7,8 @@
 GRACE_SECONDS = 6.0
 EDGE_FAREWELL_SECONDS = 2.3
 OTHER_FAREWELL_SECONDS = 0.3
-DRAIN_SECONDS = 3.2
+# Farewell and drain together.
+SHUTDOWN_SECONDS = 5.5
 # The part of the runs in which clients read slowly.
 THIN_SHARE = 0.3
 LARGE_FLEET_EDGES = 40
--- a/tests/programs/test_shutdown.py
+++ b/tests/programs/test_shutdown.py
@@ -7,6 +7,11 @@
 import sys
 import time
 
+import deployed_programs
+import pytest
+
+from irisstand import node_settings
+
 STUCK = """
 import asyncio, os, signal, sys, threading, types
 import irisstand.process_runner as running
@@ -45,6 +50,18 @@
     assert time.monotonic() - started < 12
 
 
+def test_holder_has_as_much_of_the_grace_for_reads_in_flight_as_an_edge(tmp_path):
+    path = deployed_programs.settings("edge-1", 4, (1, 2, 3, 4), "z1", "127.0.0.1:9", tmp_path)
+    given = node_settings.read_file(str(path))
+    times = {}
+    for role in ("direct", "holder"):
+        translated = deployed_programs.platform_settings.translate(given, role)
+        times[role] = translated["farewell"] + translated["drain"]
+    assert times["holder"] == pytest.approx(times["direct"])
+    # The platform's grace, less the last steps.
+    assert times["direct"] == pytest.approx(6 - 0.5)
+
+
 def test_signal_in_the_last_steps_of_a_stop_does_not_change_how_it_ends():
     command = [sys.executable, "-c", SIGNALLED_AT_THE_END]
     done = subprocess.run(command, capture_output=True, text=True, timeout=60)
