What was decided before a wait for a token is decided again after it

After the wait the same conditions are asked again, by the predicate that the choice uses (EndpointSelector.is_allowed): listed, not leaving, not evacuated, region, not down, not newly cold, route and tables still in force. If one fails, the attempt ends as not sent, and the policy chooses again. The token is lost.

test_decisions_after_waits: 16 cases (three kinds of request, five changes, and a route that went to another service) all failed before, the request went to the origin picked first; all pass now.

--- a/src/irisstand/dataplane/upstream/attempts.py
+++ b/src/irisstand/dataplane/upstream/attempts.py
@@ -1,6 +1,7 @@
 """One attempt at one endpoint: a request goes out over one connection, and its answer is judged."""
 
 import asyncio
+import collections.abc
 import dataclasses
 
 from irisstand import errors, node_context
@@ -31,6 +32,7 @@
     """What is sent to which endpoint; an anonymous attempt goes without the client's request id.
 
     Attributes:
+        check_again: Raises an IrisError if, after the delay, the endpoint may not be used any more.
         connection: What the request is sent over; None until there is one.
     """
 
@@ -39,6 +41,7 @@
     headers: upstream_request.Headers
     retry_policy: attempt_policy.AttemptPolicy[exchange.Answer]
     delay_seconds: float
+    check_again: collections.abc.Callable[[], None]
     is_anonymous: bool
     connection: exchange.Exchange | None = None
 
@@ -68,6 +71,7 @@
         try:
             if attempt.delay_seconds:
                 await asyncio.sleep(attempt.delay_seconds)
+                attempt.check_again()
             given_id = attempt.request.headers.get(self.header_names.request_id, "")
             request_id = "" if attempt.is_anonymous else given_id
             # Without an id nothing would tell a surplus answer to an earlier request from this one's.
--- a/src/irisstand/dataplane/upstream/client.py
+++ b/src/irisstand/dataplane/upstream/client.py
@@ -185,14 +185,22 @@
             endpoint, delay = self.choose(call)
         except errors.IrisError as error:
             return events.NoEndpoint(error)
-        if endpoint.is_cold():
+        is_cold = endpoint.is_cold()
+        if is_cold:
             self.endpoints.enter_cold(endpoint)
         # An object is asked for a second time as this node's own reading of it, under no client's id: an
         # origin that failed under an id would fail under it again.
         is_read = call.route.is_cacheable and call.request.method == "GET"
         is_anonymous = call.retry_policy.sent > 0 and is_read
+        check_again = functools.partial(self.check_again, call, endpoint, was_cold=is_cold)
         attempt = attempts.Attempt(
-            endpoint, call.request, call.headers, call.retry_policy, delay, is_anonymous=is_anonymous
+            endpoint,
+            call.request,
+            call.headers,
+            call.retry_policy,
+            delay,
+            check_again,
+            is_anonymous=is_anonymous,
         )
         call.running[self.attempts.start(self.sender.run(attempt))] = attempt
         return events.AttemptSent(endpoint.instance, endpoint.usual_seconds)
@@ -203,12 +211,33 @@
         Raises:
             IrisError: no endpoint may be used now.
         """
+        upstream = self.allowed_upstream(call)
+        endpoint = self.endpoints.choose(call.route, upstream, call.retry_policy.tried)
+        return Choice(endpoint, self.endpoints.enter(upstream, call.rate_wait_seconds()))
+
+    def allowed_upstream(self, call: Call) -> routes.Upstream:
+        """Return the service that a request goes to, if its route still allows it.
+
+        Time may have gone by since the route was read: what it allowed then may be withdrawn by now.
+
+        Raises:
+            StaleConfigurationError: it does not, or this node may no longer act by its tables.
+        """
         upstream = self.table.upstreams.get(call.service)
-        # Time may have gone by since the route was read: what it allowed then may be withdrawn by now.
         self.view.check_current()
         if upstream is None or not self.table.still_allows(call.route, call.service):
             raise errors.StaleConfigurationError(
                 "the route changed while the request waited", retry_after=0.05
             )
-        endpoint = self.endpoints.choose(call.route, upstream, call.retry_policy.tried)
-        return Choice(endpoint, self.endpoints.enter(upstream, call.rate_wait_seconds()))
+        return upstream
+
+    def check_again(self, call: Call, endpoint: origin_endpoint.Endpoint, *, was_cold: bool) -> None:
+        """Decide again, after the wait for a token, what was decided before it.
+
+        Raises:
+            NoOriginError: the endpoint leaves, is down or evacuated, or has become cold.
+            StaleConfigurationError: as `allowed_upstream` raises it.
+        """
+        upstream = self.allowed_upstream(call)
+        if not self.endpoints.is_usable(endpoint, call.route, upstream, was_cold=was_cold):
+            raise errors.NoOriginError(f"{endpoint.instance} may not be used any more", retry_after=0.1)
--- a/src/irisstand/dataplane/upstream/endpoint_pool.py
+++ b/src/irisstand/dataplane/upstream/endpoint_pool.py
@@ -90,6 +90,20 @@
         """Return the endpoint that should answer soonest; raises as `EndpointSelector.choose`."""
         return self.selector.choose(route, upstream, tried, self.token_leases)
 
+    def is_usable(
+        self,
+        endpoint: origin_endpoint.Endpoint,
+        route: routes.Route,
+        upstream: routes.Upstream,
+        *,
+        was_cold: bool,
+    ) -> bool:
+        """Return whether an endpoint that was chosen before a wait may still be used after it."""
+        is_listed = self.endpoints.get(endpoint.origin.key) is endpoint
+        is_newly_cold = endpoint.is_cold() and not was_cold
+        is_allowed = self.selector.is_allowed(endpoint, route, upstream)
+        return is_listed and is_allowed and not is_newly_cold and not endpoint.is_down
+
     def limit_of(self, name: str) -> float | None:
         """Return a limit over all nodes by its name, per second: of a service, or of a cold endpoint."""
         self.table.refresh()
--- a/src/irisstand/dataplane/upstream/endpoint_selection.py
+++ b/src/irisstand/dataplane/upstream/endpoint_selection.py
@@ -55,11 +55,7 @@
         listed = [
             endpoint
             for endpoint in self.endpoints.values()
-            if endpoint.origin.service == upstream.name
-            and endpoint.origin.state != "leaving"
-            and endpoint.instance not in tried
-            and not self.view.is_evacuated(endpoint.origin.site)
-            and (not route.regions or self.fleet.region_of(endpoint.origin.site) in route.regions)
+            if endpoint.instance not in tried and self.is_allowed(endpoint, route, upstream)
         ]
         up = [endpoint for endpoint in listed if not endpoint.is_down]
         if not up:
@@ -74,6 +70,18 @@
             raise errors.LimitExceededError(f"every origin of {upstream.name} is full", retry_after=0.1)
         return free
 
+    def is_allowed(
+        self, endpoint: origin_endpoint.Endpoint, route: routes.Route, upstream: routes.Upstream
+    ) -> bool:
+        """Return whether the origin list, evacuations and the route's regions allow an endpoint now."""
+        origin = endpoint.origin
+        return (
+            origin.service == upstream.name
+            and origin.state != "leaving"
+            and not self.view.is_evacuated(origin.site)
+            and (not route.regions or self.fleet.region_of(origin.site) in route.regions)
+        )
+
     def choose(
         self,
         route: routes.Route,
--- /dev/null
+++ b/tests/dataplane/test_decisions_after_waits.py
@@ -0,0 +1,89 @@
+"""What was decided before a request waited for a token is decided again after the wait."""
+
+import asyncio
+
+import direct_edge
+import pytest
+
+from irisstand import errors
+from irisstand.state import items
+
+# With a bucket that is empty at first, the only request waits for half a second.
+RATE = 2.0
+WHILE_IT_WAITS = 0.1
+
+
+def play(scene):
+    """Run a scene whose service has a rate, and whose route lets a request wait for its tokens."""
+
+    async def whole(stage):
+        stage.put(
+            items.CONFIGURATION,
+            "upstream/s",
+            {"version": 9, "item": {**direct_edge.UPSTREAM, "version": 9, "rate": RATE}},
+        )
+        for name, kind in direct_edge.KINDS.items():
+            stage.route(name, kind=kind, timeout=20.0, target=10.0)
+        return await scene(stage)
+
+    return direct_edge.play(whole)
+
+
+def leave(stage, key):
+    stage.origin(key, state="leaving")
+
+
+def evacuate(stage, key):
+    stage.origin("b" if key == "a" else "a", site="south")
+    stage.put(items.LEDGER, "evacuated/north", {"site": "north"})
+
+
+def remove(stage, key):
+    stage.put(items.LEDGER, f"origin/{key}", None)
+
+
+def turn_cold(stage, key):
+    stage.origin(key, state="cold", warmup=3)
+
+
+def fail(stage, key):
+    stage.part.endpoints.endpoints[f"origin/{key}"].mark_down("refused a connection")
+
+
+@pytest.mark.parametrize(
+    "change", [leave, evacuate, remove, turn_cold, fail], ids=lambda change: change.__name__
+)
+@pytest.mark.parametrize(
+    ("path", "method"), [("/reads/1", "GET"), ("/objects/1", "GET"), ("/writes/1", "POST")]
+)
+def test_origin_that_changed_while_a_request_waited_for_a_token_does_not_get_it(path, method, change):
+    async def scene(stage):
+        chosen = []
+        choose = stage.part.endpoints.choose
+
+        def note(*arguments):
+            chosen.append(choose(*arguments).instance)
+            return stage.part.endpoints.endpoints[f"origin/{chosen[-1]}"]
+
+        stage.part.endpoints.choose = note
+        request = asyncio.create_task(stage.ask(path, method))
+        await asyncio.sleep(WHILE_IT_WAITS)
+        change(stage, chosen[0])
+        answer = await request
+        return answer.status, stage.instances_asked(), chosen[0]
+
+    status, asked, first = play(scene)
+    assert (status, asked) == (200, ["b" if first == "a" else "a"])
+
+
+def test_request_whose_route_went_to_another_service_while_it_waited_is_not_sent():
+    async def scene(stage):
+        request = asyncio.create_task(stage.ask("/writes/1", "POST"))
+        await asyncio.sleep(WHILE_IT_WAITS)
+        stage.put(items.CONFIGURATION, "upstream/t", {"version": 1, "item": {"name": "t", "version": 1}})
+        stage.route("writes", kind="non_idempotent", service="t")
+        with pytest.raises(errors.IrisError) as raised:
+            await request
+        return raised.value.status, stage.sent
+
+    assert play(scene) == (503, [])
--- a/tests/mutation/direct_edge_mutations.py
+++ b/tests/mutation/direct_edge_mutations.py
@@ -64,13 +64,13 @@
     ),
     (
         "dataplane/upstream/endpoint_selection.py",
-        "            and (not route.regions or self.fleet.region_of(endpoint.origin.site) in route.regions)\n",
+        "            and (not route.regions or self.fleet.region_of(origin.site) in route.regions)\n",
         "",
         "dataplane/test_endpoint_pool.py",
     ),
     (
         "dataplane/upstream/endpoint_selection.py",
-        "            and not self.view.is_evacuated(endpoint.origin.site)\n",
+        "            and not self.view.is_evacuated(origin.site)\n",
         "",
         "dataplane/test_endpoint_pool.py",
     ),
@@ -249,5 +249,11 @@
         "dataplane/test_stopping_edges.py",
     ),
     ("node_context.py", "        self.drain_guard.refuse_unsent()\n", "", "dataplane/test_stopping_edges.py"),
+    (
+        "dataplane/upstream/attempts.py",
+        "                attempt.check_again()\n",
+        "",
+        "dataplane/test_decisions_after_waits.py",
+    ),
     ("process_runner.py", "    bound_end(context.settings)\n", "", "programs/test_shutdown.py"),
 ]
