--- a/src/irisstand/cli/develop.py
+++ b/src/irisstand/cli/develop.py
@@ -110,9 +110,7 @@
     sys.exit(1 if figures.broken else 0)
 
 
-@click.command(
-    help="Stop, start and change real processes in series, under slow origins and kept connections."
-)
+@click.command(help="Stop real processes in series. Origins are slow, and a rate is scarce.")
 @click.option("--first", type=int, default=1, help="The first seed.")
 @click.option("--runs", type=click.IntRange(1), default=1, help="How many runs; each has the next seed.")
 @click.option("--edges", type=click.IntRange(2, 300), help="How many edges.", show_default="drawn")
