Soak and commands: what stood twice stands once

The two servers of the soak share one base class, and the two commands that keep a folder share its option.

--- a/src/irisstand/cli/develop.py
+++ b/src/irisstand/cli/develop.py
@@ -11,6 +11,14 @@
 
 EXAMPLES_LIMIT = 20
 
+folder_option = click.option(
+    "--folder",
+    default="",
+    metavar="DIRECTORY",
+    show_default="a temporary one",
+    help="Where settings, data and logs are kept.",
+)
+
 
 @click.command(
     "start-cluster",
@@ -36,13 +44,7 @@
     help="Which faults are injected: calm (none), kills, wipes, roll, day or weather.",
 )
 @click.option("--seed", type=int, default=1, help="Seed of the clients' random choices.")
-@click.option(
-    "--folder",
-    default="",
-    metavar="DIRECTORY",
-    show_default="a temporary one",
-    help="Where settings, data and logs are kept.",
-)
+@folder_option
 def start_cluster(*, shape: str, seconds: float, plan: str, seed: int, folder: str) -> None:
     """Run a local cluster; exit code 1 if an invariant was broken."""
     from irisstand.localcluster import fault_plans, runner
@@ -120,13 +122,7 @@
     default=60,
     help="How long clients send in a run, in seconds.",
 )
-@click.option(
-    "--folder",
-    default="",
-    metavar="DIRECTORY",
-    show_default="a temporary one",
-    help="Where settings, data and logs are kept.",
-)
+@folder_option
 def soak(*, first: int, runs: int, edges: int | None, seconds: float, folder: str) -> None:
     """Play soak runs; exit code 1 if one of them found something."""
     from irisstand.soak import runner
--- a/src/irisstand/soak/slow_origin.py
+++ b/src/irisstand/soak/slow_origin.py
@@ -37,19 +37,10 @@
     return "\r\n".join([*lines, f"content-length: {len(body)}", "", ""]).encode("latin-1") + body
 
 
-class SlowOrigin:
-    """One origin instance: works for a time that its seed and the path decide, and drops what is cut off."""
+class LoopbackServer:
+    """Listens on a port of 127.0.0.1."""
 
-    def __init__(self, service: str, instance: str, site: str, plan: shape.SoakShape, slots: int) -> None:
-        self.service = service
-        self.instance = instance
-        self.site = site
-        self.plan = plan
-        self.state = "ready"
-        self.slots = asyncio.Semaphore(slots)
-        self.slot_count = slots
-        self.accepted = 0
-        self.records: records.Records = records.Records()
+    def __init__(self) -> None:
         self.server: asyncio.Server | None = None
         self.port = 0
 
@@ -63,6 +54,26 @@
         if self.server is not None:
             self.server.close()
 
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        raise NotImplementedError
+
+
+class SlowOrigin(LoopbackServer):
+    """One origin instance: works for a time that its seed and the path decide, and drops what is cut off."""
+
+    def __init__(self, service: str, instance: str, site: str, plan: shape.SoakShape, slots: int) -> None:
+        super().__init__()
+        self.service = service
+        self.instance = instance
+        self.site = site
+        self.plan = plan
+        self.state = "ready"
+        self.slots = asyncio.Semaphore(slots)
+        self.slot_count = slots
+        self.accepted = 0
+        self.records: records.Records = records.Records()
+
     def listing(self) -> dict[str, typing.Any]:
         """Return the platform's entry for it."""
         return {
@@ -155,23 +166,12 @@
         return encode_answer(status, {**back, "content-digest": objects.digest_header(body)}, body)
 
 
-class Platform:
+class Platform(LoopbackServer):
     """Lists origins over HTTP, a connection for each call."""
 
     def __init__(self, origins: list[SlowOrigin]) -> None:
+        super().__init__()
         self.origins = origins
-        self.server: asyncio.Server | None = None
-        self.port = 0
-
-    async def start(self) -> None:
-        """Listen on a port that is drawn."""
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
-
-    def stop(self) -> None:
-        """Stop listening."""
-        if self.server is not None:
-            self.server.close()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer one call."""
