--- a/src/irisstand/soak/fleet.py
+++ b/src/irisstand/soak/fleet.py
@@ -141,13 +141,17 @@
         process.send_signal(number)
 
     async def watch_memory(self) -> None:
-        """Note the most memory that each role had resident."""
+        """Note the most memory that each role had resident, and how late this process itself is."""
+        loop = asyncio.get_running_loop()
         while True:
             for name, process in self.processes.items():
                 role = self.places[name].role
                 used = resident_mb(process.pid)
                 self.records.peak_memory_mb[role] = max(self.records.peak_memory_mb.get(role, 0.0), used)
+            due_at = loop.time() + MEMORY_CHECK_SECONDS
             await asyncio.sleep(MEMORY_CHECK_SECONDS)
+            lag = loop.time() - due_at
+            self.records.longest_lag_seconds = max(self.records.longest_lag_seconds, lag)
 
     async def stop_all(self) -> None:
         """End all processes, in order if they do."""
--- a/src/irisstand/soak/records.py
+++ b/src/irisstand/soak/records.py
@@ -65,7 +65,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Records:
-    """All that one run saw."""
+    """All that one run saw; `longest_lag_seconds` is how late the run's own event loop was at the most."""
 
     runs: dict[str, list[OriginRun]] = dataclasses.field(default_factory=dict)
     asks: list[Ask] = dataclasses.field(default_factory=list)
@@ -74,6 +74,7 @@
     hangups: int = 0
     changes: int = 0
     peak_memory_mb: dict[str, float] = dataclasses.field(default_factory=dict)
+    longest_lag_seconds: float = 0.0
 
     def begin_run(self, run: OriginRun) -> None:
         """Keep a run under the id of its request."""
--- a/src/irisstand/soak/runner.py
+++ b/src/irisstand/soak/runner.py
@@ -91,6 +91,7 @@
         "longest stop": round(max(took, default=0.0), 2),
         "SIGHUPs": seen.hangups,
         "changes": seen.changes,
+        "longest lag of the run itself": round(seen.longest_lag_seconds, 3),
         "peak MB": {role: round(used) for role, used in seen.peak_memory_mb.items()},
     }
 
--- a/src/irisstand/soak/verdict.py
+++ b/src/irisstand/soak/verdict.py
@@ -90,18 +90,14 @@
         if stop.code is None:
             return
         took = stop.ended_at - stop.sent_at
+        detail = f"{stop.name}: {took:.2f} s, exit code {stop.code}, at an age of {stop.age_seconds:.2f} s"
         if took > shape.GRACE_SECONDS:
-            self.findings.append(Finding("a stop took longer than the grace", f"{stop.name}: {took:.2f} s"))
+            self.findings.append(Finding("a stop took longer than the grace", detail))
         # Before its handlers are there, a process has read nothing, and the signal itself ends it.
         if stop.code == -signal.SIGTERM and stop.age_seconds < START_SECONDS:
             return
         if stop.code:
-            self.findings.append(
-                Finding(
-                    "a stop ended badly",
-                    f"{stop.name} at age {stop.age_seconds:.2f} s: exit code {stop.code} after {took:.2f} s",
-                )
-            )
+            self.findings.append(Finding("a stop ended badly", detail))
 
     def report(self, rule: str, ask: records.Ask, runs: list[records.OriginRun]) -> None:
         """Add a finding about a request."""
