--- a/src/irisstand/soak/verdict.py
+++ b/src/irisstand/soak/verdict.py
@@ -19,7 +19,6 @@
 # Between the end of an origin's work and the answer of the node that broke it off.
 EVENT_MARGIN_SECONDS = 0.02
 
-START_SECONDS = 1.0
 # Statuses that promise that a request has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -37,6 +36,7 @@
     def __init__(self, seen: records.Records) -> None:
         self.records = seen
         self.findings: list[Finding] = []
+        self.lives_asked = {(ask.edge, ask.life) for ask in seen.asks}
         for ask in seen.asks:
             self.judge_write(ask)
             self.judge_ask(ask)
@@ -94,7 +94,7 @@
         if took > shape.GRACE_SECONDS:
             self.findings.append(Finding("a stop took longer than the grace", detail))
         # Before its handlers are there, a process has read nothing, and the signal itself ends it.
-        if stop.code == -signal.SIGTERM and stop.age_seconds < START_SECONDS:
+        if stop.code == -signal.SIGTERM and (stop.name, stop.life) not in self.lives_asked:
             return
         if stop.code:
             self.findings.append(Finding("a stop ended badly", detail))
