--- a/tests/mutation/run_mutations.py
+++ b/tests/mutation/run_mutations.py
@@ -18,6 +18,7 @@
 import dataplane_mutations
 import departure_mutations
 import direct_edge_mutations
+import shutdown_mutations
 import state_mutations
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -29,6 +30,7 @@
     + state_mutations.GUARDS
     + direct_edge_mutations.GUARDS
     + departure_mutations.GUARDS
+    + shutdown_mutations.GUARDS
 )
 
 
--- /dev/null
+++ b/tests/mutation/shutdown_mutations.py
@@ -0,0 +1,35 @@
+"""Lines that keep a request from being lost: at holders, during a stop, and after a wait."""
+
+GUARDS = [
+    (
+        "dataplane/retry/holder_policy.py",
+        "        return self.wait() if self.is_holder_asked else actions.Reject(error)",
+        "        return actions.Reject(error)",
+        "dataplane/test_reads_through_holders.py::test_edge_does_not_refuse_a_read_that_an_origin_works_on_for_its_holder",
+    ),
+    (
+        "dataplane/retry/holder_policy.py",
+        "        if self.is_fetching or has_run or not event.is_silent:",
+        "        if self.is_fetching or has_run:",
+        "dataplane/test_holder_policy.py",
+    ),
+    (
+        "dataplane/http/listener.py",
+        "            self.check_admission()\n",
+        "",
+        "dataplane/test_stopping_edges.py",
+    ),
+    (
+        "dataplane/upstream/client.py",
+        "            not task.done() and may_withdraw(attempt.may_have_sent) for",
+        "            may_withdraw(may_have_sent=False) for",
+        "dataplane/test_stopping_edges.py",
+    ),
+    ("node_context.py", "        self.drain_guard.refuse_unsent()\n", "", "dataplane/test_stopping_edges.py"),
+    (
+        "dataplane/upstream/attempts.py",
+        "                attempt.check_again()\n",
+        "",
+        "dataplane/test_decisions_after_waits.py",
+    ),
+]
