A holder that is declared failed keeps a read while the call to it is open

By the code only one way is left to that answer: the holder was declared failed in the edge's member list, and then the edge's own refusal ended the call.

--- a/src/irisstand/dataplane/retry/holder_policy.py
+++ b/src/irisstand/dataplane/retry/holder_policy.py
@@ -83,13 +83,13 @@
         return actions.FetchOwn()
 
     def on_holder_overdue(self, event: events.HolderOverdue) -> Action[ResponseT]:
-        """Go on waiting for a holder that is alive, fetch beside a silent one, and give up a failed one."""
-        if event.is_failed and self.is_holder_asked:
-            return self.on_holder_failed(errors.UnansweredError("the holder is declared failed"))
+        """Go on waiting for a holder that is alive, and fetch beside one that is silent or declared failed.
+
+        The call to it stays open also then: the failure detector may be wrong about a busy machine.
+        """
         has_run = self.own_error is not None and self.own_error.status != NOT_RUN_STATUS
-        if self.is_fetching or has_run or not event.is_silent:
-            return self.wait()
-        return actions.FetchOwn()
+        is_alive = not event.is_silent and not event.is_failed
+        return self.wait() if self.is_fetching or has_run or is_alive else actions.FetchOwn()
 
     def on_own_fetch_failed(self, error: errors.IrisError) -> Action[ResponseT]:
         """Wait for the holder, which may have an origin at work, or give up."""
