A count in a header is read from digits of ASCII alone

A client whose remaining time was `²`, or had over 4,300 digits, got 502: str.isdigit() takes what int() refuses, and the ValueError ended the request as a crash. The same reading stood for Keep-Alive and max-age of origins and for the Age of the platform's list. One function reads them all now; what is no number leaves the default in force.

Three of the four new cases of test_whole_numbers failed before, with ValueError.

--- a/src/irisstand/controlplane/singletons/origin_source.py
+++ b/src/irisstand/controlplane/singletons/origin_source.py
@@ -7,6 +7,7 @@
 import typing
 
 from irisstand import errors
+from irisstand.http1 import grammar
 from irisstand.validation import lazy_jsonschema
 
 HTTP_TIMEOUT_SECONDS = 2.0
@@ -109,6 +110,6 @@
     async def fetch_origins() -> PlatformAnswer:
         answer = await http_get(f"http://{address[0]}:{address[1]}/origins")
         age = answer.headers.get("Age", "0")
-        return PlatformAnswer(answer.body, float(age) if age.isdigit() else 0.0)
+        return PlatformAnswer(answer.body, float(grammar.whole_number(age) or 0))
 
     return fetch_origins
--- a/src/irisstand/dataplane/cache/objects.py
+++ b/src/irisstand/dataplane/cache/objects.py
@@ -5,6 +5,7 @@
 import typing
 
 from irisstand import errors
+from irisstand.http1 import grammar
 from irisstand.state import versions
 
 CACHEABLE_STATUSES = (200, 404)
@@ -150,7 +151,8 @@
     if status not in CACHEABLE_STATUSES or is_private or "set-cookie" in headers:
         return 0.0
     for directive in directives:
-        name, _, seconds = directive.partition("=")
-        if name == "max-age" and seconds.isdigit():
-            ttl = min(ttl, int(seconds))
+        name, _, value = directive.partition("=")
+        seconds = grammar.whole_number(value)
+        if name == "max-age" and seconds is not None:
+            ttl = min(ttl, seconds)
     return float(ttl)
--- a/src/irisstand/dataplane/nodes/direct.py
+++ b/src/irisstand/dataplane/nodes/direct.py
@@ -7,6 +7,7 @@
 from irisstand.dataplane.http import header_names
 from irisstand.dataplane.routing import route_table, routes, snapshot
 from irisstand.dataplane.upstream import client, endpoint_pool, exchange, upstream_request
+from irisstand.http1 import grammar
 
 Request = upstream_request.Request
 
@@ -66,8 +67,8 @@
 
     def remaining_seconds(self, request: Request, route: routes.Route) -> float:
         """Return how long the client waits: what it says in whole milliseconds, up to the route's timeout."""
-        given = request.headers.get(self.header_names.remaining, "")
-        return min(route.timeout, int(given) / MILLISECONDS) if given.isdigit() else route.timeout
+        given = grammar.whole_number(request.headers.get(self.header_names.remaining, ""))
+        return route.timeout if given is None else min(route.timeout, given / MILLISECONDS)
 
     def answer_with(self, request: Request, content: objects.CachedObject) -> exchange.Answer:
         """Answer a request with an object, or with the range of it that the client asks for.
--- a/src/irisstand/dataplane/upstream/exchange.py
+++ b/src/irisstand/dataplane/upstream/exchange.py
@@ -13,6 +13,7 @@
 
 from irisstand import errors
 from irisstand.dataplane.upstream import connection_state, transport_reset, upstream_request
+from irisstand.http1 import grammar
 
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 # An idle connection is given up this long before its origin said it would close it.
@@ -189,9 +190,9 @@
         if "close" in self.headers.get("connection", "").lower() or not self.parser.should_keep_alive():
             self.spend()
         for part in self.headers.get("keep-alive", "").split(","):
-            name, _, seconds = part.strip().partition("=")
-            if name == "timeout" and seconds.isdigit():
-                self.idle_limit = max(0.0, int(seconds) - IDLE_MARGIN_SECONDS)
+            name, _, value = part.strip().partition("=")
+            if name == "timeout" and (seconds := grammar.whole_number(value)) is not None:
+                self.idle_limit = max(0.0, seconds - IDLE_MARGIN_SECONDS)
 
     def is_usable(self) -> bool:
         """Whether a request may be sent: the connection is open, and not due to be closed by the origin."""
--- /dev/null
+++ b/tests/http1/test_whole_numbers.py
@@ -0,0 +1,29 @@
+"""Counts in headers: digits of ASCII alone, and not too many."""
+
+import direct_edge
+import pytest
+
+from irisstand.http1 import grammar
+
+
+@pytest.mark.parametrize("text", ["", " 1", "1 ", "+1", "-1", "1_0", "0x1", "1.0", "²", "٣", "1" * 19])
+def test_what_is_no_plain_number_is_none(text):
+    assert grammar.whole_number(text) is None
+
+
+@pytest.mark.parametrize(("text", "number"), [("0", 0), ("007", 7), ("9" * 18, 10**18 - 1)])
+def test_plain_numbers(text, number):
+    assert grammar.whole_number(text) == number
+
+
+@pytest.mark.parametrize("given", ["²", "1²", "9" * 5000, "-1"])
+def test_a_remaining_time_that_is_no_number_leaves_the_request_its_route_s_timeout(given):
+    """Guards against a crash of the request: int() refuses what str.isdigit() takes."""
+
+    async def scene(stage):
+        answer = await stage.ask("/writes/1", "POST", x_remaining_ms=given)
+        return answer.status, stage.sent[0][3]["x-remaining-ms"]
+
+    status, told = direct_edge.play(scene)
+    assert status == 200
+    assert 1900 < int(told) <= 2000
