UNASKED: a message that can be read in two ways is neither taken nor sent

Cause: two readers that disagree where a message ends. Sanic ends lines at CR LF alone and hands on what stands between, it looks for names with a blank before the colon nowhere, and skips the two bytes behind a chunk unread; the writer towards origins joined strings unchecked.

Now one package owns the grammar. Listeners of all roles refuse what breaks it with 400 before sanic reads it; the writer refuses it again, whoever made the request, so a holder is covered too. Values travel byte by byte: what is beyond Latin-1 no longer ends in 502, and what is within it is not changed any more. A target that sanic can't read is answered; before, its connection ended without an answer. Headers that Connection names are not sent on.

--- a/src/irisstand/dataplane/cache/object_reader.py
+++ b/src/irisstand/dataplane/cache/object_reader.py
@@ -219,8 +219,8 @@
     """
     headers = [
         (name, value)
-        for name, value in request.headers.items()
-        if name not in upstream_request.HOP and name not in CONDITIONAL_HEADERS
+        for name, value in upstream_request.end_to_end_headers(request.headers)
+        if name not in CONDITIONAL_HEADERS
     ]
     if known_etag:
         headers.append(("if-none-match", known_etag))
--- a/src/irisstand/dataplane/http/listener.py
+++ b/src/irisstand/dataplane/http/listener.py
@@ -11,6 +11,7 @@
 from irisstand import drain_guard, errors, event_log, node_context, node_settings
 from irisstand.dataplane.http import client_departures, closing_connections, messages
 from irisstand.dataplane.nodes import direct
+from irisstand.http1 import request_head, strict_protocol
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 # Sanic writes these headers itself.
@@ -26,6 +27,7 @@
 BACKLOG = 512
 # An answer of the node's own after more than this time was not for want of a token or an origin alone.
 LATE_ANSWER_SECONDS = 0.5
+STATUS_BAD_REQUEST = 400
 STATUS_REQUEST_TIMEOUT = 408
 STATUS_PAYLOAD_TOO_LARGE = 413
 STATUS_HEADERS_TOO_LARGE = 431
@@ -112,6 +114,7 @@
             self.server = await self.app.create_server(
                 host=self.address[0],
                 port=self.address[1],
+                protocol=strict_protocol.StrictHttpProtocol,
                 return_asyncio_server=True,
                 access_log=False,
                 backlog=BACKLOG,
@@ -176,10 +179,10 @@
 
     async def serve(self, request: sanic.request.Request) -> sanic.response.HTTPResponse:
         """Answer a request; sanic cancels this when the client leaves, and the request ends with it."""
+        # Sanic's stream has no types; this one is a `strict_protocol.StrictHttp`.
+        head: request_head.RequestHead = typing.cast(typing.Any, request.stream).head
         body = await self.read_body(request)
-        headers = messages.joined_headers(request)
-        host = headers.pop("host", "")
-        asked = direct.Request(request.method, request.raw_url, host, headers, body)
+        asked = direct.Request(request.method, request.raw_url, head.host, head.headers, body)
         with self.context.count_in_flight(), client_departures.counted(self.context.counters):
             response = await self.answer(asked)
         # A connection that is kept would bring more work to a node that is shutting down.
@@ -209,8 +212,10 @@
             event_log.record("crash", error=repr(error))
             self.context.counters.add("requests_crashed")
             return messages.error_response(errors.OutcomeUnknownError("an error of this node's own"))
-        forwarded = {name: value for name, value in headers.items() if name not in SANIC_HEADERS}
-        content_type = headers.get("content-type", DEFAULT_CONTENT_TYPE)
+        forwarded = {
+            name: messages.header_text(value) for name, value in headers.items() if name not in SANIC_HEADERS
+        }
+        content_type = messages.header_text(headers.get("content-type", DEFAULT_CONTENT_TYPE))
         return sanic.response.HTTPResponse(body, status, forwarded, content_type)
 
     def check_admission(self) -> None:
@@ -232,6 +237,8 @@
     def on_error(self, request: sanic.request.Request, error: Exception) -> sanic.response.HTTPResponse:
         """Return the response to a request that sanic refuses."""
         status = getattr(error, "status_code", None) or STATUS_INTERNAL_ERROR
+        if status == STATUS_BAD_REQUEST:
+            self.context.counters.add("malformed_requests")
         if status == STATUS_REQUEST_TIMEOUT and request.stream is not None:
             typing.cast(typing.Any, request.stream).keep_alive = False
         # Sanic calls an oversized head an oversized payload; HTTP has a status of its own for it.
--- a/src/irisstand/dataplane/http/messages.py
+++ b/src/irisstand/dataplane/http/messages.py
@@ -1,23 +1,22 @@
-"""Sanic's requests and responses as the clients' listener reads and writes them."""
+"""Responses as the clients' listener hands them to sanic."""
 
-import sanic.request
 import sanic.response
 
 from irisstand import errors
 
 
-def joined_headers(request: sanic.request.Request) -> dict[str, str]:
-    """Return a request's headers, names in lower case, repeated ones joined by commas."""
-    headers: dict[str, str] = {}
-    for name, value in request.headers.items():
-        key = name.lower()
-        headers[key] = f"{headers[key]}, {value}" if key in headers else value
-    return headers
-
-
 def error_response(error: errors.IrisError) -> sanic.response.HTTPResponse:
     """Return the response that reports an error, with Retry-After to a hundredth of a second."""
     headers = {"Cache-Control": "no-store"}
     if error.retry_after:
         headers["Retry-After"] = f"{error.retry_after:.2f}"
     return sanic.response.json(error.to_json(), error.status, headers)
+
+
+def header_text(value: str) -> str:
+    r"""Return a header's value, one character for each byte, as the text that sanic writes as these bytes.
+
+    >>> header_text("caf\u00e9").encode(errors="surrogateescape")
+    b'caf\xe9'
+    """
+    return value if value.isascii() else value.encode("latin-1").decode(errors="surrogateescape")
--- a/src/irisstand/dataplane/nodes/direct.py
+++ b/src/irisstand/dataplane/nodes/direct.py
@@ -59,9 +59,7 @@
             lookup = object_reader.ObjectLookup(route, service, request, remaining)
             return self.answer_with(request, await self.reader.read(lookup))
         service = routes.pick_service(route, request.headers.get(self.header_names.request_id, request.path))
-        headers = [
-            (name, value) for name, value in request.headers.items() if name not in upstream_request.HOP
-        ]
+        headers = upstream_request.end_to_end_headers(request.headers)
         with self.context.count_in_flight():
             return await self.origins.fetch(route, service, request, headers, remaining)
 
--- a/src/irisstand/dataplane/upstream/upstream_request.py
+++ b/src/irisstand/dataplane/upstream/upstream_request.py
@@ -3,6 +3,9 @@
 import collections.abc
 import typing
 
+from irisstand import errors
+from irisstand.http1 import grammar
+
 # Headers that concern a single connection (RFC 9110, section 7.6.1); the rest of a request goes on as it
 # came.
 HOP = frozenset(
@@ -39,14 +42,43 @@
         return self.target.partition(b"?")[0].decode("latin-1")
 
 
+def end_to_end_headers(headers: dict[str, str]) -> list[tuple[str, str]]:
+    """Return the headers that go on: not those of one connection, nor those that `Connection` names.
+
+    >>> end_to_end_headers({"connection": "close, X-Hop", "x-hop": "1", "te": "trailers", "accept": "a"})
+    [('accept', 'a')]
+    """
+    named = {option.strip().lower() for option in headers.get("connection", "").split(",")}
+    return [(name, value) for name, value in headers.items() if name not in HOP and name not in named]
+
+
 def encode(
     method: str, target: bytes, headers: collections.abc.Iterable[tuple[str, str]], body: bytes
 ) -> bytes:
-    """Return the bytes of an HTTP/1.1 request."""
-    lines = [method.encode(), b" ", target, b" HTTP/1.1\r\n"]
+    """Return the bytes of an HTTP/1.1 request.
+
+    Raises:
+        errors.BadRequestError: The head would break the grammar of HTTP/1.1, so an origin could take it for
+            more than one request.
+    """
+    lines = [method.encode(), b" ", target, b" HTTP/1.1"]
     for name, value in headers:
-        lines += [name.encode("latin-1"), b": ", value.encode("latin-1"), b"\r\n"]
+        lines += [b"\r\n", _encode_text(name), b": ", _encode_text(value)]
     if body or method in METHODS_WITH_BODY:
-        lines.append(b"content-length: %d\r\n" % len(body))
-    lines += [b"\r\n", body]
-    return b"".join(lines)
+        lines.append(b"\r\ncontent-length: %d" % len(body))
+    head = b"".join(lines)
+    if grammar.REQUEST_HEAD.fullmatch(head) is None:
+        raise errors.BadRequestError("the request cannot be written as one HTTP message")
+    return head + b"\r\n\r\n" + body
+
+
+def _encode_text(text: str) -> bytes:
+    """Return one byte for each character.
+
+    Raises:
+        errors.BadRequestError: A character stands for no byte.
+    """
+    try:
+        return text.encode("latin-1")
+    except UnicodeEncodeError:
+        raise errors.BadRequestError("a header has a character that stands for no byte") from None
--- a/src/irisstand/web.py
+++ b/src/irisstand/web.py
@@ -12,6 +12,7 @@
 import sanic.response
 
 from irisstand import errors, event_log, node_context
+from irisstand.http1 import strict_protocol
 
 BODY_LIMIT_BYTES = 4 * 1024 * 1024
 # An edge listens after that time even if its tables are not current.
@@ -88,7 +89,11 @@
         """Listen; raises OSError if the port is taken."""
         settings = self.context.settings
         self.server = await self.app.create_server(
-            host=settings.host, port=settings.http_port, return_asyncio_server=True, access_log=False
+            host=settings.host,
+            port=settings.http_port,
+            protocol=strict_protocol.StrictHttpProtocol,
+            return_asyncio_server=True,
+            access_log=False,
         )
         self.connections = self.server.connections
         await self.server.startup()
--- /dev/null
+++ b/tests/dataplane/test_request_smuggling.py
@@ -0,0 +1,192 @@
+"""No byte of a client's request makes an origin, or the client itself, read a message that nobody sent."""
+
+import asyncio
+import collections
+import itertools
+import random
+import typing
+
+import pytest
+import smuggling_places
+import strict_edge
+
+NUMBERS = itertools.count(1)
+CONCURRENT_REQUESTS = 32
+# What is answered at all is answered at once; a length that was raised waits for more.
+WAIT_SECONDS = 1.5
+FUZZ_WAIT_SECONDS = 0.5
+FUZZ_SEEDS = 4
+FUZZ_CONNECTIONS = 100
+# Bytes that some reader takes for the end of a line, for a blank, or for a sign of the grammar.
+FUZZ_PIECES = (
+    b"\n",
+    b"\r",
+    b"\r\n",
+    b"\n\n",
+    b"\0",
+    b"\t",
+    b" ",
+    b":",
+    b";",
+    b"\v",
+    b"\f",
+    b"\x1c",
+    b"\x85",
+    b"0",
+)
+LINE_ENDS = b"\n\r\0\v\f\x1c\x85"
+
+
+class Asked(typing.NamedTuple):
+    """A request with its answer and its runs at the origin; `name` stands in its path alone."""
+
+    name: str
+    sent: bytes
+    answer: bytes
+    runs: list
+
+    @property
+    def status(self):
+        return int(self.answer.split(b" ")[1]) if self.answer else 0
+
+
+async def ask(edge, request, data):
+    """Send a place's request with `data` in the place."""
+    name = f"r{next(NUMBERS)}x"
+    sent = request.replace(b"ID", name.encode()).replace(b"@", data, 1)
+    answer = await edge.send(sent, seconds=WAIT_SECONDS)
+    return Asked(name, sent, answer, [run for run in edge.origin.runs if name in run.target])
+
+
+def is_smuggled(run):
+    return run.target == "/writes/smuggled" or run.value("x-request-id") == "smuggled"
+
+
+def count_status_lines(answer):
+    """Return how many answers a client reads that takes any line break."""
+    return (b"\n" + answer.replace(b"\r", b"\n")).count(b"\nHTTP/1.1 ")
+
+
+def faults_of(place, byte, asked):
+    """Return what breaks the rule for one byte in one place."""
+    if byte not in place.taken:
+        if byte not in place.may_be_taken and not (400 <= asked.status < 500 and not asked.runs):
+            yield f"malformed, ran {len(asked.runs)} times and got {asked.status}"
+    elif not 200 <= asked.status < 300:
+        yield f"proper, and got {asked.status}"
+    if len(asked.runs) > 1 and asked.runs[0].method == "POST":
+        yield "ran twice"
+    told = place.told.replace(b"ID", asked.name.encode()).replace(b"@", bytes([byte])).strip(b" \t")
+    if told and asked.status == 200 and b"x-request-id: " + told + b"\r\n" not in asked.answer:
+        yield f"the answer does not bear the id: {asked.answer}"
+    for run in asked.runs:
+        yield from faults_of_run(place, byte, asked, run)
+
+
+def faults_of_run(place, byte, asked, run):
+    """Return what the origin read otherwise than it was sent."""
+    method, target, _ = asked.sent.split(b"\r\n")[0].decode("latin-1").split(" ")
+    if (run.method, run.target) != (method, target):
+        yield f"ran as {run.method} {run.target}"
+    if run.body and not b"hello".startswith(run.body):
+        yield f"ran with the body {run.body}"
+    if place.value:
+        value = place.value.replace(b"@", bytes([byte])).strip(b" \t").decode("latin-1")
+        if run.value("x-note") != value:
+            yield f"the value {value!r} came as {run.value('x-note')!r}"
+
+
+@pytest.mark.parametrize("name", smuggling_places.ALL)
+def test_no_byte_in_any_place_changes_what_an_origin_runs(name):
+    """Guards against UNASKED: a byte that ends a line for an origin, and not for the edge."""
+    place = smuggling_places.ALL[name]
+
+    async def scene(edge):
+        faults, limit = [], asyncio.Semaphore(CONCURRENT_REQUESTS)
+
+        async def one(byte):
+            async with limit:
+                asked = await ask(edge, place.request, bytes([byte]))
+            faults.extend(f"{byte:#04x}: {fault}" for fault in faults_of(place, byte, asked))
+
+        await asyncio.gather(*map(one, range(256)))
+        after = await ask(
+            edge, smuggling_places.WRITE + b"Content-Length: 5\r\n" + smuggling_places.END + b"after", b""
+        )
+        return faults, [run.body for run in after.runs]
+
+    assert strict_edge.play(scene) == ([], [b"after"])
+
+
+@pytest.mark.parametrize("name", smuggling_places.ALL)
+def test_no_byte_lets_a_client_hide_a_request_inside_another(name):
+    """Guards against UNASKED: a write in a header's value that an origin takes for a request of its own."""
+    place = smuggling_places.ALL[name]
+
+    async def scene(edge):
+        faults, limit = [], asyncio.Semaphore(CONCURRENT_REQUESTS)
+
+        async def one(byte):
+            async with limit:
+                asked = await ask(edge, place.request, smuggling_places.breakout(byte))
+            lines = asked.answer.replace(b"\r", b"\n").split(b"\n")
+            if count_status_lines(asked.answer) > 1 or b"Host: h" in lines:
+                faults.append(f"{byte:#04x}: the client was told {asked.answer}")
+
+        await asyncio.gather(*map(one, range(256)))
+        return faults, [run for run in edge.origin.runs if is_smuggled(run)]
+
+    assert strict_edge.play(scene) == ([], [])
+
+
+@pytest.mark.parametrize("target", [b"reads/1", b"?", b"http://[/reads/1", b"/reads/1#a", b"/reads/\x01"])
+def test_malformed_targets_are_answered(target):
+    """Guards against LOST: a connection that ended without an answer, for a target that sanic can't read."""
+
+    async def scene(edge):
+        return await edge.send(b"GET " + target + b" HTTP/1.1\r\nHost: h\r\n\r\n"), edge.origin.runs
+
+    answer, runs = strict_edge.play(scene)
+    assert answer.startswith(b"HTTP/1.1 400 ")
+    assert runs == []
+
+
+def garbled(rng, request):
+    """Return a request with stray bytes, or with a request of another, in some places."""
+    for _ in range(rng.randint(0, 3)):
+        at = rng.randrange(len(request))
+        filler = rng.choice((rng.choice(FUZZ_PIECES), smuggling_places.breakout(rng.choice(LINE_ENDS))))
+        request = request[:at] + filler + request[at + rng.randint(0, 1) :]
+    return request
+
+
+@pytest.mark.parametrize("seed", range(FUZZ_SEEDS))
+def test_fuzzed_requests_run_once_and_as_they_were_sent(seed):
+    """Guards against UNASKED, for bytes in several places, and requests one behind the other."""
+    rng = random.Random(seed)
+    places = smuggling_places.ALL.values()
+    templates = [place.request.replace(b"@", b"").replace(b"close", b"keep-alive") for place in places]
+
+    async def scene(edge):
+        method_by_name, limit = {}, asyncio.Semaphore(CONCURRENT_REQUESTS)
+
+        async def one_connection():
+            data = b""
+            for _ in range(rng.randint(1, 4)):
+                name = f"f{rng.getrandbits(40):010x}x"
+                request = rng.choice(templates).replace(b"ID", name.encode())
+                method_by_name[name] = request.split(b" ")[0].decode()
+                data += garbled(rng, request)
+            async with limit:
+                await edge.send(data, seconds=FUZZ_WAIT_SECONDS)
+
+        await asyncio.gather(*(one_connection() for _ in range(FUZZ_CONNECTIONS)))
+        return method_by_name, edge.origin.runs
+
+    method_by_name, runs = strict_edge.play(scene)
+    assert [run for run in runs if is_smuggled(run)] == []
+    named = [(name, run) for run in runs for name in method_by_name if name in run.target]
+    assert [run for name, run in named if run.method != method_by_name[name]] == []
+    writes = collections.Counter(name for name, run in named if run.method == "POST")
+    assert [name for name, count in writes.items() if count > 1] == []
+    assert len(named) > FUZZ_CONNECTIONS // 4
--- a/tests/mutation/run_mutations.py
+++ b/tests/mutation/run_mutations.py
@@ -18,6 +18,7 @@
 import dataplane_mutations
 import departure_mutations
 import direct_edge_mutations
+import http_mutations
 import shutdown_mutations
 import state_mutations
 
@@ -31,6 +32,7 @@
     + direct_edge_mutations.GUARDS
     + departure_mutations.GUARDS
     + shutdown_mutations.GUARDS
+    + http_mutations.GUARDS
 )
 
 
--- a/tests/support/departing_clients.py
+++ b/tests/support/departing_clients.py
@@ -7,6 +7,7 @@
 import direct_edge
 
 from irisstand.dataplane.http import listener
+from irisstand.http1 import request_head
 from irisstand.simulator import virtual_time
 
 # Sanic knows its applications by name for as long as the process lives.
@@ -19,9 +20,10 @@
     def __init__(self, path, method="GET", **headers):
         self.method = method
         self.raw_url = path.encode()
-        self.headers = {"host": "h", "x-request-id": f"r{next(NUMBERS)}"}
-        self.headers |= {name.replace("_", "-"): value for name, value in headers.items()}
-        self.stream = types.SimpleNamespace(request_body=None, keep_alive=True)
+        given = {"x-request-id": f"r{next(NUMBERS)}"}
+        given |= {name.replace("_", "-"): value for name, value in headers.items()}
+        head = request_head.RequestHead("h", given)
+        self.stream = types.SimpleNamespace(request_body=None, keep_alive=True, head=head)
         self.transport = types.SimpleNamespace(resume_reading=lambda: None)
 
 
--- /dev/null
+++ b/tests/support/strict_edge.py
@@ -0,0 +1,79 @@
+"""An edge on loopback sockets, from its listener for clients to an origin that reads leniently."""
+
+import asyncio
+import itertools
+import socket
+
+import direct_edge
+import lenient_origin
+
+from irisstand.dataplane.http import listener
+from irisstand.dataplane.upstream import exchange
+
+# Sanic knows its applications by name for as long as the process lives.
+NUMBERS = itertools.count(1)
+ANSWER_SECONDS = 5.0
+
+
+class OriginScene(direct_edge.Scene):
+    """A scene whose one origin is at an address."""
+
+    def __init__(self, origin_address, settings):
+        self.origin_address = origin_address
+        super().__init__(settings=settings)
+
+    async def connect(self, host, port):
+        return await exchange.connector("x-request-id")(*self.origin_address)
+
+
+class Edge:
+    """The listener, its node and the origin."""
+
+    async def start(self):
+        self.origin = lenient_origin.LenientOrigin()
+        address = await self.origin.start()
+        settings = direct_edge.SETTINGS._replace(name=f"strict-{next(NUMBERS)}")
+        scene = OriginScene(address, settings)
+        scene.put("ledger", "rate-parts", {"units": {settings.name: 1000}})
+        self.context = scene.context
+        self.context.crashed = asyncio.get_running_loop().create_future()
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            self.address = probe.getsockname()
+        self.listener = listener.ClientListener(self.context, scene.part, self.address)
+        await self.listener.open_when_current()
+        return self
+
+    async def send(self, data, *, seconds=ANSWER_SECONDS):
+        """Send bytes on a connection of their own; return all that comes back until its end."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        answer = b""
+        try:
+            writer.write(data)
+            async with asyncio.timeout(seconds):
+                while piece := await reader.read(65536):
+                    answer += piece
+        except (TimeoutError, OSError):
+            pass
+        finally:
+            writer.transport.abort()
+        return answer
+
+    async def stop(self):
+        await self.listener.stop_listening()
+        await self.context.close()
+        self.origin.server.close()
+
+
+def play(scene):
+    """Run `scene(edge)` on real sockets."""
+
+    async def whole():
+        edge = await Edge().start()
+        try:
+            async with asyncio.timeout(120):
+                return await scene(edge)
+        finally:
+            await edge.stop()
+
+    return asyncio.run(whole())
