A probe path, a name or an instance that ends in a line break is refused

Operators' probe paths were any text that begins with a slash, and nodes write them to origins as they stand; the patterns of names, paths and the platform's instances ended in `$`, which lets a line break by.

--- a/src/irisstand/controlplane/singletons/origin_source.py
+++ b/src/irisstand/controlplane/singletons/origin_source.py
@@ -16,7 +16,7 @@
     "type": "object",
     "required": ["id", "service", "host", "port", "site", "state"],
     "properties": {
-        "id": {"type": "string", "pattern": r"^[A-Za-z0-9._-]{1,64}$"},
+        "id": {"type": "string", "pattern": r"^[A-Za-z0-9._-]{1,64}\Z"},
         "service": {"type": "string"},
         "host": {"type": "string"},
         "port": {"type": "integer", "minimum": 1, "maximum": 65535},
--- a/src/irisstand/validation/item_schema.py
+++ b/src/irisstand/validation/item_schema.py
@@ -8,6 +8,8 @@
 SECONDS = {"type": "number", "minimum": 0, "maximum": 86400}
 RATE = {"type": ["number", "null"], "exclusiveMinimum": 0}
 NAME = {"type": "string", "minLength": 1, "maxLength": 200}
+# A path as nodes write it to origins; `$` would let a line break by.
+PROBE_PATH = r'^/[!"$-~]*\Z'
 VERSION = {"type": "integer", "minimum": 0, "maximum": 2**53}
 # Longer messages of the schema checker are cut.
 MESSAGE_LIMIT = 300
@@ -46,7 +48,7 @@
         "properties": {
             "name": NAME,
             "version": VERSION,
-            "probe": {"type": ["string", "null"], "pattern": "^/"},
+            "probe": {"type": ["string", "null"], "pattern": PROBE_PATH},
             "connections": {"type": ["integer", "null"], "minimum": 1},
             "warmup": {"type": ["number", "null"], "minimum": 0},
             "cold_rate": RATE,
--- a/src/irisstand/validation/schema.py
+++ b/src/irisstand/validation/schema.py
@@ -5,8 +5,9 @@
 
 from irisstand.validation import lazy_jsonschema
 
-NAME = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$"
-PATH = r"^/[!-~]{0,255}$"
+# `$` would let a line break by at the end.
+NAME = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z"
+PATH = r"^/[!-~]{0,255}\Z"
 WEIGHT = {"type": "number", "minimum": 0, "maximum": 1000}
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 
@@ -81,7 +82,7 @@
                 "vary": {
                     "type": "array",
                     "maxItems": 8,
-                    "items": {"type": "string", "pattern": r"^[A-Za-z0-9-]{1,64}$"},
+                    "items": {"type": "string", "pattern": r"^[A-Za-z0-9-]{1,64}\Z"},
                 },
             },
         ),
--- a/tests/validation/test_versioned_items.py
+++ b/tests/validation/test_versioned_items.py
@@ -142,3 +142,12 @@
     call["put"]["routes"][1]["timeout"] = 1
     with pytest.raises(errors.InvalidChangeError):
         amend(fresh(), call)
+
+
+@pytest.mark.parametrize("probe", ["/health\n", "/health\r\nX-Note: a", "/a b", "/h\x00", "/h#a", "/\u00e9"])
+def test_a_probe_path_that_is_no_path_on_a_wire_is_refused(probe):
+    """Guards against UNASKED: nodes write this path to origins as it stands."""
+    call = copy.deepcopy(CALL)
+    call["put"]["upstreams"][0].update({"version": 9, "probe": probe})
+    with pytest.raises(errors.InvalidChangeError):
+        amend(fresh(), call)
