The instance that a client names is not sent on beside the node's own

A client's own header for the instance that is meant went to origins in front of the node's. An origin that reads the first of two answers 421, and the node then takes the origin's address for another instance's and leaves it alone: one client could take every origin of a service from all. The header is left out now, as the remaining time is.

--- a/src/irisstand/dataplane/upstream/attempts.py
+++ b/src/irisstand/dataplane/upstream/attempts.py
@@ -98,7 +98,7 @@
         """Send the request over a connection and return the answer, which may have any status."""
         request, words = attempt.request, self.header_names
         remaining_ms = max(1, int(attempt.retry_policy.remaining() * 1000))
-        left_out = (words.remaining, words.request_id if attempt.is_anonymous else "")
+        left_out = (words.remaining, words.expected, words.request_id if attempt.is_anonymous else "")
         headers = [("host", request.host), *((n, v) for n, v in attempt.headers if n not in left_out)]
         headers += [(words.remaining, str(remaining_ms)), (words.expected, attempt.endpoint.instance)]
         # The policy has its own deadline; this one is for what goes on after it.
--- a/tests/dataplane/test_request_smuggling.py
+++ b/tests/dataplane/test_request_smuggling.py
@@ -151,6 +151,22 @@
     assert runs == []
 
 
+@pytest.mark.parametrize("path", [b"/reads/1", b"/objects/1", b"/writes/1"])
+def test_a_client_cannot_name_the_instance_that_a_node_means(path):
+    """Guards against an origin that is left alone since it answered 421 to a client's own word."""
+
+    async def scene(edge):
+        method = b"POST " if b"writes" in path else b"GET "
+        lines = b" HTTP/1.1\r\nHost: h\r\nX-Expected-Instance: another\r\n" + smuggling_places.END
+        answer = await edge.send(method + path + lines)
+        named = [value for run in edge.origin.runs for name, value in run.headers if "instance" in name]
+        return answer[:12], named
+
+    answer, instances = strict_edge.play(scene)
+    assert answer == b"HTTP/1.1 200"
+    assert instances in (["a"], ["b"])
+
+
 def garbled(rng, request):
     """Return a request with stray bytes, or with a request of another, in some places."""
     for _ in range(rng.randint(0, 3)):
