DRAIN, EVAC: what was decided before a connection opened is decided again

On role direct the wait for a new connection, up to 0.4 s, was such a one: an origin that began to leave, was evacuated, taken from the list or turned cold meanwhile still got the request, and a change of the route was overtaken by longer than the users' bound of 0.25 s for going back. On role shield that wait has a probe in it, which an origin may answer seconds late; the grant was looked at again there, the origin was not.

--- a/src/irisstand/dataplane/upstream/attempts.py
+++ b/src/irisstand/dataplane/upstream/attempts.py
@@ -32,7 +32,7 @@
     """What is sent to which endpoint; an anonymous attempt goes without the client's request id.
 
     Attributes:
-        check_again: Raises an IrisError if, after the delay, the endpoint may not be used any more.
+        check_again: Raises an IrisError if, after a wait, the endpoint may not be used any more.
         connection: What the request is sent over; None until there is one.
     """
 
@@ -77,6 +77,9 @@
             # Without an id nothing would tell a surplus answer to an earlier request from this one's.
             timeout = max(MINIMUM_CONNECT_SECONDS, attempt.retry_policy.remaining())
             attempt.connection = await endpoint.acquire(timeout, is_fresh=not request_id)
+            # A new one took time to open.
+            if not attempt.connection.is_used:
+                attempt.check_again()
             answer = await self.send(attempt.connection, attempt, request_id)
             is_answered = True
             return self.judge(endpoint, answer, request_id)
--- a/src/irisstand/dataplane/upstream/origin_client.py
+++ b/src/irisstand/dataplane/upstream/origin_client.py
@@ -158,6 +158,8 @@
         # Time went by since the origin was chosen: what was allowed then may be withdrawn by now.
         self.view.check_current()
         self.check_grant(allowed, request)
+        if not self.origins.is_usable(origin):
+            raise errors.StaleConfigurationError(f"{origin.instance} may not be used any more")
         headers = {**request.headers, "X-Request-Id": request.request_id}
         timeout = max(MINIMUM_TIMEOUT_SECONDS, retry_policy.remaining())
         answer = await connection.send(request.method, request.target, headers, request.body, timeout)
--- a/src/irisstand/dataplane/upstream/origin_pool.py
+++ b/src/irisstand/dataplane/upstream/origin_pool.py
@@ -88,11 +88,7 @@
             for pool in self.pools.values()
             if pool.origin.service == allowed.service and pool.origin.state != "leaving"
         ]
-        usable = [
-            pool
-            for pool in listed
-            if pool.is_healthy and pool.instance not in tried and not self.view.is_evacuated(pool.origin.site)
-        ]
+        usable = [pool for pool in listed if pool.instance not in tried and self.is_usable(pool)]
         if not usable:
             raise errors.NoOriginError(f"no origin of {allowed.service} is usable just now")
         even_rate = allowed.limit[0] / len(listed)
@@ -103,6 +99,11 @@
             raise errors.SlowStartError(f"the origins of {allowed.service} are warming up")
         return available
 
+    def is_usable(self, pool: origin_connections.OriginConnections) -> bool:
+        """Return whether an origin may get requests now: listed, not leaving, healthy and not evacuated."""
+        is_leaving = pool.is_removed or pool.origin.state == "leaving"
+        return not is_leaving and pool.is_healthy and not self.view.is_evacuated(pool.origin.site)
+
     def share(self, allowed: snapshot.AllowedRequest) -> float:
         """Return this shield's part of the service's rate limit, from 0 to 1."""
         return self.view.quota_share(allowed.service, allowed.limit)[0] / allowed.limit[0]
--- a/tests/dataplane/test_decisions_after_waits.py
+++ b/tests/dataplane/test_decisions_after_waits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import cluster
 import direct_edge
 import pytest
 
@@ -24,11 +25,20 @@
         )
         for name, kind in direct_edge.KINDS.items():
             stage.route(name, kind=kind, timeout=20.0, target=10.0)
+        for endpoint in stage.part.endpoints.endpoints.values():
+            keep_connection(stage, endpoint)
         return await scene(stage)
 
     return direct_edge.play(whole)
 
 
+def keep_connection(stage, endpoint):
+    """Give an endpoint a connection that has carried a request, so that none has to be opened."""
+    connection = direct_edge.Line(stage, endpoint.instance)
+    connection.is_used = True
+    endpoint.idle.append(connection)
+
+
 def leave(stage, key):
     stage.origin(key, state="leaving")
 
@@ -76,6 +86,32 @@
     assert (status, asked) == (200, ["b" if first == "a" else "a"])
 
 
+@pytest.mark.parametrize("change", [leave, evacuate, remove, turn_cold], ids=lambda change: change.__name__)
+@pytest.mark.parametrize(
+    ("path", "method"), [("/reads/1", "GET"), ("/objects/1", "GET"), ("/writes/1", "POST")]
+)
+def test_origin_that_changed_while_a_connection_to_it_opened_does_not_get_the_request(path, method, change):
+    """Guards against DRAIN and EVAC: an endpoint that was picked before the wait for its connection."""
+
+    async def scene(stage):
+        opened = []
+
+        async def connect(host, port):
+            opened.append(chr(int(host.rpartition(".")[2])))
+            if len(opened) == 1:
+                await asyncio.sleep(0.1)
+                change(stage, opened[0])
+            return direct_edge.Line(stage, opened[-1])
+
+        for endpoint in stage.part.endpoints.endpoints.values():
+            endpoint.connect = connect
+        answer = await stage.ask(path, method)
+        return answer.status, stage.instances_asked(), opened[0]
+
+    status, asked, first = direct_edge.play(scene)
+    assert (status, asked) == (200, ["b" if first == "a" else "a"])
+
+
 def test_request_whose_route_went_to_another_service_while_it_waited_is_not_sent():
     async def scene(stage):
         request = asyncio.create_task(stage.ask("/writes/1", "POST"))
@@ -87,3 +123,39 @@
         return raised.value.status, stage.sent
 
     assert play(scene) == (503, [])
+
+
+@pytest.mark.parametrize("change", ["leaving", "evacuated"])
+def test_shield_sends_nothing_to_an_origin_that_changed_while_its_connection_opened(change):
+    """Guards against DRAIN and EVAC on role shield, whose connections wait for a probe's answer."""
+
+    async def scene(day):
+        origins = [origin for origin in day.actors.origins if origin.service == "application"]
+        opened = []
+        for node in day.cluster.with_role("shield"):
+            pools = node.program.role_node.origins
+            opener = pools.open_connection
+
+            async def slow(host, port, opener=opener, pools=pools):
+                connection = await opener(host, port)
+                opened.append(connection.origin)
+                if len(opened) == 1:
+                    await asyncio.sleep(0.05)
+                    for pool in pools.pools.values():
+                        if pool.instance != connection.origin.instance:
+                            continue
+                        if change == "leaving":
+                            pool.origin = pool.origin._replace(state="leaving")
+                        else:
+                            pools.view.is_evacuated = pool.origin.site.__eq__
+                return connection
+
+            for pool in pools.pools.values():
+                pool.open_connection = slow
+                pool.idle.clear()
+        for origin in origins:
+            origin.started.clear()
+        status = (await day.actors.ask("edge-1", "GET", "/shortlists/1"))[0]
+        return status, len(opened) > 1, opened[0].started
+
+    assert cluster.play(scene) == (200, True, [])
--- a/tests/mutation/shutdown_mutations.py
+++ b/tests/mutation/shutdown_mutations.py
@@ -28,8 +28,20 @@
     ("node_context.py", "        self.drain_guard.refuse_unsent()\n", "", "dataplane/test_stopping_edges.py"),
     (
         "dataplane/upstream/attempts.py",
-        "                attempt.check_again()\n",
+        "                await asyncio.sleep(attempt.delay_seconds)\n                attempt.check_again()\n",
+        "                await asyncio.sleep(attempt.delay_seconds)\n",
+        "dataplane/test_decisions_after_waits.py",
+    ),
+    (
+        "dataplane/upstream/attempts.py",
+        "            if not attempt.connection.is_used:\n                attempt.check_again()\n",
         "",
         "dataplane/test_decisions_after_waits.py",
     ),
+    (
+        "dataplane/upstream/origin_client.py",
+        "        if not self.origins.is_usable(origin):\n",
+        "        if False:\n",
+        "dataplane/test_decisions_after_waits.py",
+    ),
 ]
--- a/tests/support/direct_edge.py
+++ b/tests/support/direct_edge.py
@@ -44,7 +44,7 @@
 
     def __init__(self, scene, key):
         self.scene, self.key = scene, key
-        self.is_open, self.may_have_sent = True, False
+        self.is_open, self.may_have_sent, self.is_used = True, False, False
 
     def is_usable(self):
         return self.is_open
@@ -53,7 +53,7 @@
         self.is_open = False
 
     async def send(self, method, target, headers, body, request_id):
-        self.may_have_sent = True
+        self.may_have_sent = self.is_used = True
         sent = dict(headers)
         self.scene.sent.append((self.key, method, target.decode(), sent, asyncio.get_running_loop().time()))
         played = self.scene.play(self.key, sent, body)
