LOST: what waits for an operator, or on role edge, knows of the end of a drain

Callers saw: an operator's read at a control plane node that stops (it waits for a majority) ended with its connection, as the drain did not last for it; so did a client's request at a node of role edge when the drain ended.

Cause: waits with an end of their own inside a process whose end comes sooner; the drain knew only of work that was counted, and of the connections of one listener. Both listeners now close connections as they come to rest, and the drain lasts for the others; what still waits at its end is answered: reads with 503, a write of role edge with 504.

--- a/src/irisstand/controlplane/api/operator_reads.py
+++ b/src/irisstand/controlplane/api/operator_reads.py
@@ -9,7 +9,7 @@
 import sanic.request
 import sanic.response
 
-from irisstand import node_context, web
+from irisstand import drain_guard, node_context, web
 from irisstand.controlplane.changes import amendment, change_status
 from irisstand.controlplane.consensus import heartbeat, voter_administration
 from irisstand.controlplane.singletons import capacity_scaling
@@ -70,9 +70,19 @@
         add(self.get_machines, "/machines", methods=["GET"])
         add(self.get_ledger, "/ledger", methods=["GET"])
 
+    async def confirm_current(self, *tables: str) -> None:
+        """Wait until the tables are known to be current, or until the end of a drain.
+
+        Raises:
+            irisstand.errors.StaleConfigurationError: They could not be confirmed in time.
+            irisstand.errors.DrainingError: This node is shutting down.
+        """
+        with self.context.drain_guard.answer_at_end(lambda: drain_guard.WorkState.WITHDRAWABLE):
+            await self.read_index.confirm(*tables)
+
     async def get_rows(self, request: sanic.request.Request) -> sanic.response.HTTPResponse:
         """Return every configuration row in force with its version."""
-        await self.read_index.confirm(items.CONFIGURATION)
+        await self.confirm_current(items.CONFIGURATION)
         configuration = self.context.configuration
         rows = []
         for kind in schema.REGISTRY:
@@ -83,22 +93,22 @@
 
     async def get_items(self, request: sanic.request.Request) -> sanic.response.HTTPResponse:
         """Return all versioned items in force, laid out as an amendment that would put them."""
-        await self.read_index.confirm(items.CONFIGURATION)
+        await self.confirm_current(items.CONFIGURATION)
         return web.json_response(amendment.as_amendment(self.context.configuration))
 
     async def get_change(self, request: sanic.request.Request, change: str) -> sanic.response.HTTPResponse:
         """Return what became of a change."""
-        await self.read_index.confirm(items.CONFIGURATION, items.LEDGER)
+        await self.confirm_current(items.CONFIGURATION, items.LEDGER)
         return web.json_response(await self.changes.show(change))
 
     async def get_voters(self, request: sanic.request.Request) -> sanic.response.HTTPResponse:
         """Return each table's voters and the spares."""
-        await self.read_index.confirm(*items.TABLES)
+        await self.confirm_current(*items.TABLES)
         return web.json_response(await self.voters.describe())
 
     async def get_ledger(self, request: sanic.request.Request) -> sanic.response.HTTPResponse:
         """Return every row of the ledger with its version, without the records of changes."""
-        await self.read_index.confirm(items.LEDGER)
+        await self.confirm_current(items.LEDGER)
         ledger = self.context.ledger
         rows = [
             {"key": item.key, "serial": str(item.version), "value": item.value}
@@ -126,7 +136,7 @@
 
     async def get_machines(self, request: sanic.request.Request) -> sanic.response.HTTPResponse:
         """Return why each machine is on standby or not, and the hours that standby has saved."""
-        await self.read_index.confirm(items.LEDGER)
+        await self.confirm_current(items.LEDGER)
         machines = {name: status._asdict() for name, status in self.machine_statuses().items()}
         saved = self.context.ledger.items_with_prefix(capacity_scaling.SAVINGS_PREFIX)
         hours = sum(item.value["seconds"] for item in saved) / SECONDS_PER_HOUR
--- a/src/irisstand/controlplane/consensus/voter_planner.py
+++ b/src/irisstand/controlplane/consensus/voter_planner.py
@@ -56,7 +56,7 @@
         # At a shutdown: whether the vote was handed over, or cannot be.
         self.has_handed_over = False
         if self.is_enabled:
-            self.context.has_pending_work = self.is_handing_over
+            self.context.pending_work_checks.append(self.is_handing_over)
 
     @property
     def is_enabled(self) -> bool:
--- a/src/irisstand/dataplane/http/listener.py
+++ b/src/irisstand/dataplane/http/listener.py
@@ -11,7 +11,7 @@
 from irisstand import drain_guard, errors, event_log, node_context, node_settings
 from irisstand.dataplane.http import client_departures, closing_connections, messages
 from irisstand.dataplane.nodes import direct
-from irisstand.http1 import request_head, strict_protocol
+from irisstand.http1 import open_connections, request_head, strict_protocol
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 # Sanic writes these headers itself.
@@ -129,26 +129,13 @@
         """Accept no more connections; the open ones are closed as they come to rest."""
         if self.server is not None:
             self.server.close()
-            self.context.has_pending_work = self.close_idle_connections
-
-    def close_idle_connections(self) -> bool:
-        """Close connections on which no request is being read or answered, and return whether any is left.
-
-        A node that ended with one open could read a request in its last moment, and leave it unanswered.
-        """
-        connections = self.server.connections
-        for connection in list(connections):
-            if not connection.recv_buffer:
-                connection.close_if_idle()
-        return bool(connections)
+            connections = self.server.connections
+            self.context.pending_work_checks.append(lambda: open_connections.close_idle(connections))
 
     def abort_connections(self) -> None:
-        """Abort all connections: a client that does not read must not keep the process from its end."""
-        if self.server is None:
-            return
-        for connection in list(self.server.connections):
-            if connection.transport is not None:
-                connection.transport.abort()
+        """Abort all connections, at the very end."""
+        if self.server is not None:
+            open_connections.abort(self.server.connections)
 
     # -- requests ------------------------------------------------------------------------------------
     async def read_body(self, request: sanic.request.Request) -> bytes:
--- a/src/irisstand/dataplane/http/sanic_adapter.py
+++ b/src/irisstand/dataplane/http/sanic_adapter.py
@@ -5,11 +5,12 @@
 import sanic.request
 import sanic.response
 
-from irisstand import errors, web
+from irisstand import drain_guard, errors, web
 from irisstand.dataplane.http import client_departures
 from irisstand.dataplane.nodes import edge as edge_node
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+WorkState = drain_guard.WorkState
 DEFAULT_CONTENT_TYPE = "application/octet-stream"
 
 
@@ -42,8 +43,12 @@
         asked = edge_node.Request(
             request.method, request.path, request.query_string, headers, request.body or b""
         )
+        context = self.edge.context
+        # What shields did of it is not known here; a read may be cut off all the same.
+        is_read = request.method in edge_node.READ_METHODS
+        work_state = (lambda: WorkState.WITHDRAWABLE) if is_read else (lambda: WorkState.BEGUN)
         try:
-            with client_departures.counted(self.edge.context.counters):
+            with client_departures.counted(context.counters), context.drain_guard.answer_at_end(work_state):
                 result = await self.edge.handle(asked)
         except errors.IrisError as error:
             return web.error_response(error)
--- a/src/irisstand/node_context.py
+++ b/src/irisstand/node_context.py
@@ -27,7 +27,7 @@
             it still takes work (the lame-duck state of the SRE book, chapter 20).
         is_draining: Whether the node takes no new work.
         in_flight: How many pieces of work somebody waits for; a drain lasts until there is none.
-        has_pending_work: Called during a drain; returns whether more work may come on an open connection.
+        pending_work_checks: Called during a drain; each returns whether it has to last for more work.
         drain_ending: Done when the time of a drain is nearly over: what is in flight is to be answered now.
         drain_guard: Answers requests then: first those of which nothing was sent, at last the others.
         crashed: Fails with the error of the first controller that crashed; None until the node is open.
@@ -67,7 +67,7 @@
         self.is_lame_duck = False
         self.is_draining = False
         self.in_flight = 0
-        self.has_pending_work: collections.abc.Callable[[], bool] = lambda: False
+        self.pending_work_checks: list[collections.abc.Callable[[], bool]] = []
         self.drain_ending: asyncio.Future[None] | None = None
         self.drain_guard = drain_guard.DrainGuard()
         self.crashed: asyncio.Future[None] | None = None
@@ -183,6 +183,10 @@
         self.detector.leave()
         await asyncio.sleep(LEAVE_SECONDS)
 
+    def has_pending_work(self) -> bool:
+        """Return whether a drain has to last for work that is not in flight; all checks are made."""
+        return any([check() for check in self.pending_work_checks])
+
     def _announce_drain_ending(self) -> None:
         self.drain_guard.refuse_unsent()
         if self.drain_ending is not None and not self.drain_ending.done():
--- a/src/irisstand/web.py
+++ b/src/irisstand/web.py
@@ -12,7 +12,7 @@
 import sanic.response
 
 from irisstand import errors, event_log, node_context
-from irisstand.http1 import strict_protocol
+from irisstand.http1 import open_connections, strict_protocol
 
 BODY_LIMIT_BYTES = 4 * 1024 * 1024
 # An edge listens after that time even if its tables are not current.
@@ -115,16 +115,15 @@
                 raise errors.PortTakenError(str(error)) from None
 
     async def stop_listening(self) -> None:
-        """Accept no more connections; those that exist are served on."""
+        """Accept no more connections; those that exist are served on, and closed as they come to rest."""
         if self.server is not None:
             self.server.close()
             self.server = None
+            self.context.pending_work_checks.append(lambda: open_connections.close_idle(self.connections))
 
     def abort_connections(self) -> None:
-        """End all connections: a client that does not read must not keep the process alive."""
-        for connection in list(self.connections):
-            if connection.transport is not None:
-                connection.transport.abort()
+        """Abort all connections, at the very end."""
+        open_connections.abort(self.connections)
 
     async def on_response(
         self, _request: sanic.request.Request, response: sanic.response.BaseHTTPResponse
--- a/tests/mutation/consensus_mutations.py
+++ b/tests/mutation/consensus_mutations.py
@@ -106,7 +106,7 @@
     ),
     (
         "controlplane/consensus/voter_planner.py",
-        "            self.context.has_pending_work = self.is_handing_over",
+        "            self.context.pending_work_checks.append(self.is_handing_over)",
         "            pass",
         "controlplane/test_voter_sets.py::test_planned_replacement_and_then_power_loss_of_all_others_lose_no_confirmed_change",
     ),
--- a/tests/mutation/controlplane_mutations.py
+++ b/tests/mutation/controlplane_mutations.py
@@ -106,7 +106,7 @@
     ),
     (
         "controlplane/api/operator_reads.py",
-        "        await self.read_index.confirm(*items.TABLES)",
+        "        await self.confirm_current(*items.TABLES)",
         "        self.context.check_current()",
         "controlplane/test_partitioned_nodes.py::test_control_node_just_cut_off_refuses_reads_at_once",
     ),
--- a/tests/mutation/shutdown_mutations.py
+++ b/tests/mutation/shutdown_mutations.py
@@ -1,4 +1,5 @@
 """Lines that keep a request from being lost: at holders, during a stop, and after a wait."""
+# ruff: noqa: E501
 
 GUARDS = [
     (
@@ -44,4 +45,28 @@
         "        if False:\n",
         "dataplane/test_decisions_after_waits.py",
     ),
+    (
+        "drain_guard.py",
+        "                case WorkState.BEGUN:\n",
+        "                case WorkState.BEGUN if False:\n",
+        "dataplane/test_stopping_edges.py",
+    ),
+    (
+        "controlplane/api/operator_reads.py",
+        "        with self.context.drain_guard.answer_at_end(lambda: drain_guard.WorkState.WITHDRAWABLE):\n",
+        "        if True:\n",
+        "programs/test_stopping_listeners.py",
+    ),
+    (
+        "web.py",
+        "            self.context.pending_work_checks.append(lambda: open_connections.close_idle(self.connections))\n",
+        "",
+        "programs/test_stopping_listeners.py",
+    ),
+    (
+        "dataplane/http/sanic_adapter.py",
+        ", context.drain_guard.answer_at_end(work_state)",
+        "",
+        "programs/test_stopping_listeners.py",
+    ),
 ]
--- /dev/null
+++ b/tests/programs/test_stopping_listeners.py
@@ -0,0 +1,113 @@
+"""Listeners of operators and of role edge, on real sockets: nothing that was read ends without an answer."""
+
+import asyncio
+import itertools
+import socket
+
+import direct_edge
+import pytest
+
+from irisstand import event_log, web
+from irisstand.controlplane.api import operator_reads
+from irisstand.dataplane.http import sanic_adapter
+
+# Sanic knows its applications by name for as long as the process lives.
+NUMBERS = itertools.count(1)
+DRAIN_SECONDS = 0.5
+
+
+class SlowNode:
+    """Stands for what an edge, or a majority, is asked: it answers after some seconds."""
+
+    def __init__(self, context, seconds):
+        self.context, self.seconds = context, seconds
+
+    async def handle(self, request):
+        await asyncio.sleep(self.seconds)
+
+    async def confirm(self, *tables):
+        await asyncio.sleep(self.seconds)
+
+
+def play(scene, seconds=60):
+    """Run `scene(server, address)` with a listener for operators and for clients of role edge."""
+
+    async def whole():
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            address = probe.getsockname()
+        settings = direct_edge.SETTINGS._replace(
+            name=f"stops-{next(NUMBERS)}", host=address[0], http_port=address[1], drain=DRAIN_SECONDS
+        )
+        context = direct_edge.Scene(settings=settings).context
+        context.detector.leave = lambda: None
+        server = web.HttpServer(context, event_log.EventLog())
+        slow = SlowNode(context, seconds)
+        operator_reads.OperatorReads(context, None, slow, server)
+        sanic_adapter.SanicAdapter(server, slow)
+        await server.open()
+        async with asyncio.timeout(20):
+            return await scene(server, address)
+
+    return asyncio.run(whole())
+
+
+async def stop(server):
+    await server.stop_listening()
+    await server.context.drain()
+    await server.context.close()
+
+
+async def ask_and_stop(server, address, request_line):
+    """Send a request, stop the node while it is at work on it, and return the answer."""
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(request_line + b" HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+    await asyncio.sleep(0.05)
+    await stop(server)
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+@pytest.mark.parametrize(
+    ("request_line", "status"),
+    [
+        # An operator's read, which waits for a majority.
+        (b"GET /items", b"503"),
+        (b"GET /vacancies/1", b"503"),
+        (b"POST /applications", b"504"),
+    ],
+)
+def test_a_request_that_waits_at_the_end_of_a_drain_is_answered(request_line, status):
+    """Guards against LOST: what waits in a node of role edge, or for an operator, knows of the drain."""
+
+    async def scene(server, address):
+        return await ask_and_stop(server, address, request_line)
+
+    assert play(scene).startswith(b"HTTP/1.1 " + status)
+
+
+def test_an_operator_s_read_that_is_confirmed_within_the_drain_is_answered_by_itself():
+    """Guards against LOST: a drain that was over before what it had read was."""
+
+    async def scene(server, address):
+        return await ask_and_stop(server, address, b"GET /items")
+
+    assert play(scene, seconds=DRAIN_SECONDS / 2).startswith(b"HTTP/1.1 200")
+
+
+def test_a_connection_at_rest_is_closed_when_the_listener_stops():
+    """Guards against LOST: a request that a node reads in its last moment, on a connection that was kept."""
+
+    async def scene(server, address):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"GET /_irisstand/live HTTP/1.1\r\nHost: h\r\n\r\n")
+        await reader.readuntil(b"}")
+        started_at = server.context.clock.now()
+        await stop(server)
+        took = server.context.clock.now() - started_at
+        rest = await reader.read()
+        writer.close()
+        return rest, took < DRAIN_SECONDS
+
+    assert play(scene) == (b"", True)
