STALE, CONFIG: one spelling of a host and a path, for routes, caches, purges and configurations

Cause: the host was compared in four places, each in a way of its own: as it came in cache keys and purges, in lower case with and without a port for routes, as spelt in the check of the configuration. Now http1.locations makes the one form (host in lower case, without port and the dot at its end; escapes that are not needed are undone, RFC 3986, section 6.2), and all four use it. Origins get the spelling of the client, as before. Spellings of a path are copies of their own, which one purge strikes together; a query in a purge does not count.

A network that has two such routes has its next change refused until one of them is dropped or changed.

--- a/src/irisstand/controlplane/api/operator_calls.py
+++ b/src/irisstand/controlplane/api/operator_calls.py
@@ -4,6 +4,7 @@
 import typing
 
 from irisstand import errors
+from irisstand.http1 import locations
 
 CHANGE_ID = re.compile(r"^[A-Za-z0-9._:-]{1,100}$")
 ROWS_LIMIT = 1000
@@ -88,7 +89,8 @@
     if isinstance(tag, str) and 0 < len(tag) <= PURGED_NAME_LIMIT and path is None:
         return PurgeTarget(TAG, tag)
     if tag is None and isinstance(path, str) and isinstance(host, str) and path.startswith("/"):
-        location = host + path
+        # By a path alone, objects are named that belong to no host.
+        location = locations.location(host, path) if host else path
         if len(location) <= PURGED_LOCATION_LIMIT:
             return PurgeTarget(PATH, location)
     raise errors.BadRequestError("not one tag, nor one host and path", "name a tag, or a host and a path")
--- a/src/irisstand/dataplane/cache/object_reader.py
+++ b/src/irisstand/dataplane/cache/object_reader.py
@@ -11,6 +11,7 @@
 from irisstand.dataplane.retry import freshness_policy
 from irisstand.dataplane.routing import routes, snapshot
 from irisstand.dataplane.upstream import client, exchange, upstream_request
+from irisstand.http1 import locations
 from irisstand.state import versions
 
 # These must not reach an origin, as the complete object is wanted for all clients.
@@ -52,12 +53,13 @@
     @property
     def key(self) -> str:
         """The key in caches, and for the choice of a holder."""
-        return f"{self.service} {self.request.host}{self.request.target.decode('latin-1')}"
+        host = locations.normal_host(self.request.host)
+        return f"{self.service} {host}{self.request.target.decode('latin-1')}"
 
     @property
     def purge_path(self) -> str:
         """The name under which the object can be purged."""
-        return f"{self.request.host}{self.request.path}"
+        return locations.location(self.request.host, self.request.path)
 
 
 # Fetches an object without a holder, within some seconds.
--- a/src/irisstand/dataplane/routing/route_table.py
+++ b/src/irisstand/dataplane/routing/route_table.py
@@ -5,6 +5,7 @@
 
 from irisstand import errors, node_context
 from irisstand.dataplane.routing import prefix_map, routes
+from irisstand.http1 import locations
 from irisstand.state import items, replica, versioned_items, versions
 
 ROUTE_PREFIX = "route/"
@@ -93,7 +94,7 @@
         route = None
         content = content_of(item)
         if content is not None:
-            host = content["host"].lower()
+            host = locations.normal_host(content["host"])
             route = routes.Route.from_content(content)
             self.add(host, route)
         if item is not None:
@@ -114,13 +115,13 @@
         """Add a route of a host."""
         if host not in self.hosts:
             self.hosts[host] = prefix_map.PrefixMap()
-        self.hosts[host].add(route.prefix, route.name, route)
+        self.hosts[host].add(locations.normal_path(route.prefix), route.name, route)
         self.by_name[route.name] = route
         self.services_at_holders.update(cacheable_services(route))
 
     def remove(self, host: str, route: routes.Route) -> None:
         """Remove a route of a host."""
-        self.hosts[host].remove(route.prefix, route.name)
+        self.hosts[host].remove(locations.normal_path(route.prefix), route.name)
         if self.hosts[host].is_empty():
             del self.hosts[host]
         del self.by_name[route.name]
@@ -134,22 +135,20 @@
         """Return the route of the host with the longest prefix of the path.
 
         Args:
-            host: The request's host, with or without a port.
-            path: The request's path.
+            host: The request's host, however it is spelt.
+            path: The request's path, however it is spelt.
 
         Raises:
             errors.UnknownPathError: No route covers the path.
         """
         self.refresh()
-        name = host.lower()
-        for candidate in (name, name.rpartition(":")[0]):
-            prefixes = self.hosts.get(candidate)
-            route = None if prefixes is None else prefixes.longest_match(path)
-            if route is not None:
-                return route
-        raise errors.UnknownPathError(
-            f"no route of {host} covers the path", "ask for a path that a route covers"
-        )
+        prefixes = self.hosts.get(locations.normal_host(host))
+        route = None if prefixes is None else prefixes.longest_match(locations.normal_path(path))
+        if route is None:
+            raise errors.UnknownPathError(
+                f"no route of {host} covers the path", "ask for a path that a route covers"
+            )
+        return route
 
     def still_allows(self, route: routes.Route, service: str) -> bool:
         """Tell whether the route as it is now lets a request go to the service."""
--- /dev/null
+++ b/src/irisstand/http1/locations.py
@@ -0,0 +1,44 @@
+"""One spelling of where a request goes, for routes, caches, purges and the check of the configuration alike.
+
+What goes on to an origin keeps the spelling of the client.
+"""
+
+import functools
+import re
+
+_PORT = re.compile(r":[0-9]*\Z")
+_ESCAPE = re.compile(r"%([0-9A-Fa-f]{2})")
+# Characters that mean the same with and without an escape (RFC 3986, section 2.3).
+_UNRESERVED = frozenset("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")
+# Hosts of which the normal form is kept.
+_KEPT_HOSTS = 1024
+
+
+@functools.lru_cache(_KEPT_HOSTS)
+def normal_host(host: str) -> str:
+    """Return a host in lower case, without its port and the dot at its end (RFC 3986, section 6.2).
+
+    >>> normal_host("Shop.Example.:8080"), normal_host("[::1]:80"), normal_host("[::1]")
+    ('shop.example', '[::1]', '[::1]')
+    """
+    return _PORT.sub("", host).lower().removesuffix(".")
+
+
+def normal_path(path: str) -> str:
+    """Return a path without its query, with an escape for no character that needs none.
+
+    >>> normal_path("/%7Euser/a%2fb?c"), normal_path("/~user/a%2Fb")
+    ('/~user/a%2Fb', '/~user/a%2Fb')
+    """
+    path = path.partition("?")[0]
+    return _ESCAPE.sub(_normal_escape, path) if "%" in path else path
+
+
+def _normal_escape(found: re.Match[str]) -> str:
+    character = chr(int(found[1], 16))
+    return character if character in _UNRESERVED else found[0].upper()
+
+
+def location(host: str, path: str) -> str:
+    """Return the name of what a host serves under a path."""
+    return normal_host(host) + normal_path(path)
--- a/src/irisstand/validation/item_entries.py
+++ b/src/irisstand/validation/item_entries.py
@@ -7,6 +7,7 @@
 import collections.abc
 import typing
 
+from irisstand.http1 import locations
 from irisstand.state import versioned_items
 from irisstand.validation import canonical_content, item_schema
 
@@ -157,7 +158,7 @@
         if route is None or not key.startswith("route/"):
             continue
         faults += faults_of_route(key, route, services)
-        location = (route["host"], route["prefix"])
+        location = (locations.normal_host(route["host"]), locations.normal_path(route["prefix"]))
         if location in key_by_location:
             message = f"{key_by_location[location]} has the same host and prefix; drop or change one"
             faults.append(item_schema.ItemFault(key, "prefix", message))
