A row whose kind or name is no word is refused, and ends no control plane node

One POST /changes with a list or an object as kind or name ended the node that planned it, and the last winner that it was sent to: the row was looked up in a set before its schema was checked. It is checked first now, and refused with 400 where it comes in.

--- a/src/irisstand/controlplane/api/operator_calls.py
+++ b/src/irisstand/controlplane/api/operator_calls.py
@@ -43,7 +43,7 @@
     """Return the rows of a change.
 
     Raises:
-        BadRequestError: There is no list of objects, or too many.
+        BadRequestError: There is no list of objects, or too many, or a kind or name is no word.
         InvalidChangeError: Rows have unknown fields or no value; with each of these faults.
     """
     rows = content.get("rows")
@@ -51,6 +51,10 @@
         raise errors.BadRequestError("rows is not a list of objects", "send one object for each row")
     if len(rows) > ROWS_LIMIT:
         raise errors.BadRequestError(f"over {ROWS_LIMIT} rows in one change", "send it in parts")
+    for position, row in enumerate(rows):
+        for field in ("kind", "name"):
+            if not isinstance(row.get(field, ""), str):
+                raise errors.BadRequestError(f"the {field} of row {position} is no word", "send a string")
     faults = [
         row_fault(position, field, "no such field; use kind, name, value and expected")
         for position, row in enumerate(rows)
--- a/src/irisstand/controlplane/changes/operator_changes.py
+++ b/src/irisstand/controlplane/changes/operator_changes.py
@@ -61,9 +61,9 @@
     seen: set[tuple[str, str]] = set()
     for position, row in enumerate(proposed):
         row_key = (row.kind, row.name)
-        is_repeated = row_key in seen
         row_faults = schema.faults(row.kind, row.name, row.value)
-        if is_repeated and not row_faults:
+        # Looked up only once its kind and name are known to be words.
+        if not row_faults and row_key in seen:
             row_faults = [schema.RowFault("name", "the same row stands twice in this change; keep one")]
         faults += [fault_entry(position, row.kind, row.name, *fault) for fault in row_faults]
         if not row_faults:
--- /dev/null
+++ b/tests/controlplane/test_change_rows.py
@@ -0,0 +1,37 @@
+"""Rows of a change that cannot be looked up: refused where they come in, and where they are planned."""
+
+import asyncio
+
+import cluster
+import pytest
+
+from irisstand import errors
+from irisstand.controlplane.api import operator_calls
+
+WORDS = [["site"], {"site": 1}, 7, None, True]
+
+
+def row_with(field, word):
+    return {"kind": "site", "name": "north", "value": {"weight": 1}, field: word}
+
+
+@pytest.mark.parametrize("word", WORDS, ids=str)
+@pytest.mark.parametrize("field", ["kind", "name"])
+def test_a_row_whose_kind_or_name_is_no_word_is_refused_where_it_comes_in(field, word):
+    with pytest.raises(errors.BadRequestError):
+        operator_calls.changed_rows({"rows": [row_with(field, word)]})
+
+
+@pytest.mark.parametrize("field", ["kind", "name"])
+def test_a_row_whose_kind_or_name_is_no_word_ends_no_node(field):
+    """Guards against a control plane node that ended as it planned a change that cannot be looked up."""
+
+    async def scene(day):
+        for word in WORDS:
+            row = row_with(field, word)
+            with pytest.raises(errors.InvalidChangeError):
+                await day.actors.order("agency-1", "change", [row, row])
+        await asyncio.sleep(1)
+        return [node.name for node in day.cluster.nodes.values() if node.program is None]
+
+    assert cluster.play(scene) == []
