--- a/tests/support/strict_edge.py
+++ b/tests/support/strict_edge.py
@@ -35,6 +35,9 @@
         settings = direct_edge.SETTINGS._replace(name=f"strict-{next(NUMBERS)}")
         scene = OriginScene(address, settings)
         scene.put("ledger", "rate-parts", {"units": {settings.name: 1000}})
+        # Long enough for a busy machine, so that nothing is refused, or sent a second time, for want of time.
+        for name, kind in direct_edge.KINDS.items():
+            scene.route(name, kind=kind, timeout=60.0, target=30.0)
         self.context = scene.context
         self.context.crashed = asyncio.get_running_loop().create_future()
         with socket.socket() as probe:
