Processes that end by themselves: the reason on standard error, and exit codes of their own

A crash for want of memory, of descriptors or by a bug had the same code, 1; nothing in the log stated what a process used of its limits; and the timer that ends an overdue shutdown ended the process with code 0 and no line.

The event resources (memory, address space, threads, descriptors, limits) is recorded when a node has opened and when it ends. Exit codes: 3 memory, 4 descriptors, 5 disk, 6 overdue shutdown; 0, 1 and 2 mean what they meant. A stuck thread after a finished shutdown still ends with 0.

--- a/src/irisstand/process_runner.py
+++ b/src/irisstand/process_runner.py
@@ -12,15 +12,19 @@
 import uvloop
 
 import irisstand
-from irisstand import errors, event_log, node_context, node_settings, settings_reload
+from irisstand import (
+    errors,
+    event_log,
+    exit_codes,
+    node_context,
+    node_settings,
+    process_resources,
+    settings_reload,
+)
 
 # Time for the last steps of a shutdown, after the lame duck and the drain (settings `farewell` and `drain`).
 SHUTDOWN_MARGIN_SECONDS = 0.35
 
-EXIT_OK = 0
-EXIT_CRASH = 1
-EXIT_USAGE = 2
-
 # Closes the listeners of a node, so that it accepts no more connections.
 StopListening = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 # The context of an open node, and the function that closes its listeners.
@@ -54,7 +58,7 @@
         except errors.SettingsError as error:
             for fault in error.faults:
                 click.echo(f"irisstand-{program}: {fault}", err=True)
-            sys.exit(EXIT_USAGE)
+            sys.exit(exit_codes.ExitCode.NOT_STARTED)
         end_process(run(checked, assemble, read_settings))
 
     name = f"irisstand-{program}"
@@ -84,28 +88,45 @@
     try:
         return uvloop.run(serve(settings, assemble, log, read_settings))
     except Exception as error:
-        # Events that explain the crash are only in memory, and would be lost with the process.
         event_log.record("crash", error=repr(error))
-        log.write_out(f"crash: {error!r}")
-        return EXIT_CRASH
+        return _report_crash(error, log)
 
 
-def limit_shutdown_time(settings: node_settings.Settings) -> None:
-    """Start a timer that ends this process when its shutdown time is over, even if a thread or task hangs.
+class ShutdownTimer:
+    """Ends this process when its shutdown time is over, even if a thread or task hangs.
 
     A thread may hang in a stalled write, for example. When the timer fires, no request is served any more,
     and the data folder survives it just as it survives a kill.
+
+    Attributes:
+        log: The event log, which is written out if the shutdown is not finished in time.
+        is_finished: Whether all steps of the shutdown are done, so that only threads are left to end.
     """
-    allowed_seconds = settings.farewell + settings.drain + SHUTDOWN_MARGIN_SECONDS
-    timer = threading.Timer(allowed_seconds, os._exit, (EXIT_OK,))
-    timer.daemon = True
-    timer.start()
+
+    def __init__(self, log: event_log.EventLog) -> None:
+        self.log = log
+        self.is_finished = False
+
+    def start(self, settings: node_settings.Settings) -> None:
+        """Start the timer for the shutdown time that the settings allow."""
+        allowed_seconds = settings.farewell + settings.drain + SHUTDOWN_MARGIN_SECONDS
+        timer = threading.Timer(allowed_seconds, self.end_overdue)
+        timer.daemon = True
+        timer.start()
+
+    def end_overdue(self) -> None:
+        """End this process; if its shutdown is not finished, write out the event log before that."""
+        if self.is_finished:
+            os._exit(exit_codes.ExitCode.STOPPED)
+        process_resources.record()
+        self.log.write_out("the shutdown took longer than its time")
+        os._exit(exit_codes.ExitCode.SHUTDOWN_OVERDUE)
 
 
 def end_process(code: int) -> typing.NoReturn:
     """End this process without finalizing the interpreter, as that takes long on a busy machine.
 
-    The timer of `limit_shutdown_time` could not shorten that, as other threads do not run during it.
+    `ShutdownTimer` could not shorten that, as other threads do not run during it.
     """
     sys.stdout.flush()
     sys.stderr.flush()
@@ -132,24 +153,29 @@
         context, stop_listening = await assemble(settings, log)
     except OSError as error:
         print(f"irisstand: cannot open the node: {error}; free the port or name another", file=sys.stderr)
-        return EXIT_USAGE
+        return exit_codes.code_for(error, exit_codes.ExitCode.NOT_STARTED)
     except errors.IrisError as error:
         print(f"irisstand: {error.code}: {error}; {error.remedy}", file=sys.stderr)
-        return EXIT_USAGE
+        return exit_codes.ExitCode.NOT_STARTED
+    process_resources.record()
     if read_settings is not None:
         context.start_task(settings_reload.reload_repeatedly(context, reload, read_settings), "settings")
     crashed = context.crashed
     assert crashed is not None, "the context of an open node has no `crashed` future"
     end_futures: list[asyncio.Future[typing.Any]] = [loop.create_task(stop.wait()), crashed]
     await asyncio.wait(end_futures, return_when=asyncio.FIRST_COMPLETED)
-    if crashed.done():
-        return _report_crash(crashed.exception(), log)
-    await _shut_down(context, stop_listening)
+    crash = crashed.exception() if crashed.done() else None
+    if crash is not None:
+        return _report_crash(crash, log)
+    shutdown_timer = ShutdownTimer(log)
+    await _shut_down(context, stop_listening, shutdown_timer)
     _ignore_further_signals(loop)
     # The counters exist only in this process, so their final values are written with the event log.
     event_log.record("counters", values=context.counters.by_text())
+    process_resources.record()
     log.write_out("SIGTERM")
-    return EXIT_OK
+    shutdown_timer.is_finished = True
+    return exit_codes.ExitCode.STOPPED
 
 
 def _ignore_further_signals(loop: asyncio.AbstractEventLoop) -> None:
@@ -160,19 +186,24 @@
         signal.signal(signal_number, signal.SIG_IGN)
 
 
-def _report_crash(error: BaseException | None, log: event_log.EventLog) -> int:
+def _report_crash(error: BaseException, log: event_log.EventLog) -> int:
     if isinstance(error, errors.PortTakenError):
         print(f"irisstand: {error}; {error.remedy}", file=sys.stderr)
-        return EXIT_USAGE
-    log.write_out(f"crash: {error!r}")
-    return EXIT_CRASH
+        return exit_codes.ExitCode.NOT_STARTED
+    # Events that explain the crash are only in memory, and would be lost with the process.
+    process_resources.record()
+    code = exit_codes.code_for(error)
+    log.write_out(f"crash: {error!r}; exit code {code:d} ({code.name})")
+    return code
 
 
-async def _shut_down(context: node_context.NodeContext, stop_listening: StopListening) -> None:
+async def _shut_down(
+    context: node_context.NodeContext, stop_listening: StopListening, shutdown_timer: ShutdownTimer
+) -> None:
     # The node first reports that it is not ready and serves on, so that balancers and peers send it no more
     # work. A listener that is closed at once would reset connections that are established but not accepted.
     context.is_lame_duck = True
-    limit_shutdown_time(context.settings)
+    shutdown_timer.start(context.settings)
     await asyncio.sleep(context.settings.farewell)
     await stop_listening()
     await context.drain()
--- a/tests/mutation/direct_edge_mutations.py
+++ b/tests/mutation/direct_edge_mutations.py
@@ -224,5 +224,5 @@
         "        if False:",
         "transport/test_incarnations.py",
     ),
-    ("process_runner.py", "    limit_shutdown_time(context.settings)\n", "", "programs/test_shutdown.py"),
+    ("process_runner.py", "    shutdown_timer.start(context.settings)\n", "", "programs/test_shutdown.py"),
 ]
