Address space: no pool of threads, one arena and small stacks, so that a process fits its machine

Callers saw the system not start, or control plane nodes that ended by themselves again and again, where the memory of a machine (memory_mb) is enforced as a limit of address space. Edges then answered 503 only.

Cause: the event loop looked up each listening address in its pool of threads, although it is an IP address. That started four threads; each reserved 8 MB for its stack and 64 MB (128 MB for a moment) for an arena of the allocator. An edge had 43 MB resident and 415 MB of address space, a control plane node 55 and 437, on machines with 260 and 296. A later allocation or import failed, its task crashed, and that ended the process with code 1.

Class: what a process reserves is not derived from what its machine has.

tests/programs/test_machine_limits.py before: 3 of 3 failed (no edge ever served); now 3 passed, with 88 MB for an edge too.

--- a/src/irisstand/dataplane/http/listener.py
+++ b/src/irisstand/dataplane/http/listener.py
@@ -8,7 +8,7 @@
 import sanic.request
 import sanic.response
 
-from irisstand import drain_guard, errors, event_log, node_context, node_settings
+from irisstand import drain_guard, errors, event_log, listening_sockets, node_context, node_settings
 from irisstand.dataplane.http import client_departures, closing_connections, messages
 from irisstand.dataplane.nodes import direct
 from irisstand.http1 import open_connections, request_head, strict_protocol
@@ -114,8 +114,7 @@
             return
         try:
             self.server = await self.app.create_server(
-                host=self.address[0],
-                port=self.address[1],
+                sock=listening_sockets.bind_tcp(*self.address),
                 protocol=strict_protocol.StrictHttpProtocol,
                 return_asyncio_server=True,
                 access_log=False,
--- a/src/irisstand/process_runner.py
+++ b/src/irisstand/process_runner.py
@@ -20,6 +20,7 @@
     node_settings,
     process_resources,
     settings_reload,
+    thread_reservations,
 )
 
 # Time for the last steps of a shutdown, after the lame duck and the drain (settings `farewell` and `drain`).
@@ -83,6 +84,7 @@
     settings: node_settings.Settings, assemble: Assemble, read_settings: ReadSettings | None = None
 ) -> int:
     """Run a node until a signal stops it or it crashes; return the exit code."""
+    thread_reservations.limit()
     log = event_log.EventLog()
     log.attach()
     try:
--- a/src/irisstand/transport/network.py
+++ b/src/irisstand/transport/network.py
@@ -5,7 +5,7 @@
 import struct
 import typing
 
-from irisstand import errors
+from irisstand import errors, listening_sockets
 from irisstand.transport import codec
 
 Address = tuple[str, int]
@@ -156,10 +156,12 @@
         async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await on_stream(TcpStream(reader, writer))
 
-        return await asyncio.start_server(accept, *address)
+        return await asyncio.start_server(accept, sock=listening_sockets.bind_tcp(*address))
 
     async def open_datagram_socket(self, address: Address, on_datagram: OnDatagram) -> DatagramSocket:
         """Open a UDP socket at `address`; `on_datagram` is called with each payload and its sender."""
         loop = asyncio.get_running_loop()
-        _, socket = await loop.create_datagram_endpoint(lambda: UdpSocket(on_datagram), local_addr=address)
+        _, socket = await loop.create_datagram_endpoint(
+            lambda: UdpSocket(on_datagram), sock=listening_sockets.bind_udp(*address)
+        )
         return socket
--- a/src/irisstand/web.py
+++ b/src/irisstand/web.py
@@ -11,7 +11,7 @@
 import sanic.request
 import sanic.response
 
-from irisstand import errors, event_log, node_context
+from irisstand import errors, event_log, listening_sockets, node_context
 from irisstand.http1 import open_connections, strict_protocol
 
 BODY_LIMIT_BYTES = 4 * 1024 * 1024
@@ -96,8 +96,7 @@
         """Listen on the HTTP port of the settings; raises OSError if the port is taken."""
         settings = self.context.settings
         self.server = await self.app.create_server(
-            host=settings.host,
-            port=settings.http_port,
+            sock=listening_sockets.bind_tcp(settings.host, settings.http_port),
             protocol=strict_protocol.StrictHttpProtocol,
             return_asyncio_server=True,
             access_log=False,
--- a/tests/programs/test_shutdown.py
+++ b/tests/programs/test_shutdown.py
@@ -8,6 +8,7 @@
 import time
 
 import deployed_programs
+import deployed_settings
 import pytest
 
 from irisstand import node_settings
@@ -50,7 +51,7 @@
 
 
 def test_holder_has_as_much_of_the_grace_for_reads_in_flight_as_an_edge(tmp_path):
-    path = deployed_programs.write_settings("edge-1", 4, (1, 2, 3, 4), "z1", "127.0.0.1:9", tmp_path)
+    path = deployed_settings.write_settings("edge-1", 4, (1, 2, 3, 4), "z1", "127.0.0.1:9", tmp_path)
     decoded = node_settings.read_file(str(path))
     shutdown_seconds = {}
     for role in ("direct", "holder"):
--- a/tests/support/deployed_programs.py
+++ b/tests/support/deployed_programs.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 import aiohttp.web
+import deployed_settings
 
 from irisstand.emulators import upstream_emulator
 from irisstand.localcluster import processes
@@ -21,66 +22,20 @@
 
 HEADER_NAMES = platform_settings.header_names.REGISTRY[platform_settings.VOCABULARY]
 HOST = "a.example"
-BOUNDS = """
-grace = 6
-config_apply = 2
-catch_up = 4
-stretch_max = 5
-retry_budget_ratio = 0.2
-retry_slack = 56
-cold_overrun = 1.5
-cold_slack = 5
-"""
-
-
-def write_settings(name, number, ports, zone, platform_address, folder, **more):
-    """Write a settings file as the platform would write it, and return its path."""
-    ip = f"127.0.7.{number}"
-    listen = (
-        {"control": f"{ip}:{ports[1]}"}
-        if "shield" in name
-        else {
-            "front": f"{ip}:{ports[2]}",
-            "readiness": f"{ip}:{ports[3]}",
-        }
-    )
-    lines = [
-        f'node_name = "{name}"',
-        f'ip = "{ip}"',
-        f'zone = "{zone}"',
-        'region = "r1"',
-        f"internal_ports = [{ports[0]}, {ports[0] + 9}]",
-        "first_start = true",
-        f'data_dir = "{folder}/{name}"',
-        "seed_nodes = " + json.dumps([f"127.0.7.{n}:{ports[1]}" for n in (1, 2, 3)]),
-        'nobody_knows = "this"',
-        "[zones]",
-        'z1 = "r1"',
-        'z2 = "r1"',
-        'z3 = "r1"',
-        "[listen_addrs]",
-        *(f'{key} = "{value}"' for key, value in listen.items()),
-        "[limits]",
-        "memory_mb = 300",
-        "[fault_tolerance]",
-        "machine_losses = 1",
-        "[cloud_api]",
-        f'address = "{platform_address}"',
-        "rate = 44.0",
-        "lag = 0.1",
-        "[bound_set]",
-        BOUNDS,
-    ]
-    path = pathlib.Path(folder) / f"{name}.toml"
-    path.write_text("\n".join(lines))
-    return path
 
 
 class DeployedNetwork:
-    """Three control plane nodes and one edge; `async with` starts and ends their processes."""
+    """Three control plane nodes and one edge; `async with` starts and ends their processes.
+
+    Args:
+        folder: Where settings, data and logs are kept.
+        limits: The machine's limits by the first part of a process's name; a process without an entry has
+            none, and all variables of this process. A holder runs beside shield-1 if it has an entry.
+    """
 
-    def __init__(self, folder):
+    def __init__(self, folder, limits=None):
         self.folder = str(folder)
+        self.limits = limits or {}
         first_port = processes.free_ports(1)[0]
         self.ports = (min(first_port, 60000), *processes.free_ports(3))
         self.processes = {}
@@ -103,6 +58,8 @@
         self.platform_address = "{}:{}".format(*self.platform_server.addresses[0])
         for number in (1, 2, 3):
             await self.start(f"shield-{number}", number, f"z{number}")
+        if "holder" in self.limits:
+            await self.start("holder-1", 1, "z1")
         await self.start("edge-1", 4, "z1")
         return self
 
@@ -117,16 +74,37 @@
             await origin.stop()
 
     async def start(self, name, number, zone):
-        path = write_settings(name, number, self.ports, zone, self.platform_address, self.folder)
-        program = "core_node.py" if "shield" in name else "edge_node.py"
+        kind = name.partition("-")[0]
+        limits = self.limits.get(kind)
+        given = {} if limits is None else limits._asdict()
+        path = deployed_settings.write_settings(
+            name, number, self.ports, zone, self.platform_address, self.folder, **given
+        )
+        program = {"shield": "core_node.py", "holder": "holder_node.py", "edge": "edge_node.py"}[kind]
+        variables = {
+            name: os.environ[name] for name in deployed_settings.PLATFORM_VARIABLES if name in os.environ
+        }
+        environment = os.environ if limits is None else variables
         self.processes[name] = await asyncio.create_subprocess_exec(
             sys.executable,
             f"platform/{program}",
             cwd=ROOT,
-            env={**os.environ, platform_settings.SETTINGS_FILE_VARIABLE: str(path)},
-            stderr=asyncio.subprocess.PIPE,
+            env={**environment, platform_settings.SETTINGS_FILE_VARIABLE: str(path)},
+            stderr=self.open_log(name) if limits is not None else asyncio.subprocess.PIPE,
+            preexec_fn=None if limits is None else limits.apply,
         )
 
+    def open_log(self, name):
+        return open(pathlib.Path(self.folder) / f"{name}.log", "ab")
+
+    def log_of(self, name):
+        """Return what a process with limits has written to its standard error, in all its lives."""
+        return (pathlib.Path(self.folder) / f"{name}.log").read_text()
+
+    def exit_codes(self):
+        """Return the exit code of each process that has ended, by name."""
+        return {name: p.returncode for name, p in self.processes.items() if p.returncode is not None}
+
     async def instances(self, request):
         """Serve the platform's list of origin instances, two entries a page."""
         page = int(request.query.get("page_token", "0"))
