Standard output and error: a reader that stalls or is gone neither stops a process nor changes its exit code

With a closed pipe a stop in order ended with code 120, and a crash, too.

Cause: print, logging and the event log wrote to a pipe and waited for its reader. Class: an action towards the outside without a time limit, on the event loop. One module replaces both standard streams at the start: it waits 0.2 s for a reader that takes nothing, 2 s for one write in all, then drops the rest. Sought elsewhere: whatever else prints uses these two streams.

--- a/src/irisstand/process_runner.py
+++ b/src/irisstand/process_runner.py
@@ -20,6 +20,7 @@
     node_settings,
     process_resources,
     settings_reload,
+    standard_streams,
     thread_reservations,
 )
 
@@ -84,6 +85,7 @@
     settings: node_settings.Settings, assemble: Assemble, read_settings: ReadSettings | None = None
 ) -> int:
     """Run a node until a signal stops it or it crashes; return the exit code."""
+    standard_streams.bound_waiting()
     thread_reservations.limit()
     log = event_log.EventLog()
     log.attach()
--- a/tests/programs/test_process_ends.py
+++ b/tests/programs/test_process_ends.py
@@ -1,8 +1,10 @@
 """A process that ends by itself says why, and has an exit code for it."""
 
 import json
+import os
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -64,3 +66,48 @@
     assert returncode == 6
     assert "shutdown" in reason
     assert events[-1]["message_type"] == "resources"
+
+
+def start_with_pipe(event):
+    """Start the script with a pipe as its standard streams; return the process and the pipe's read end."""
+    script = SCRIPT.format(event=event, drain_takes=0)
+    read_end, write_end = os.pipe()
+    process = subprocess.Popen([sys.executable, "-c", script], stdout=write_end, stderr=write_end)
+    os.close(write_end)
+    return process, read_end
+
+
+# More than a pipe holds, and then the end of the process.
+FLOOD_AND_STOP = "lambda: (print('x' * 300_000, file=sys.stderr), os.kill(os.getpid(), signal.SIGTERM))"
+FLOOD_AND_CRASH = "lambda: (print('x' * 300_000, file=sys.stderr), crashed.set_exception(ValueError()))"
+
+
+@pytest.mark.parametrize(("event", "code"), [(FLOOD_AND_STOP, 0), (FLOOD_AND_CRASH, 1)])
+def test_process_whose_output_nobody_reads_goes_on_and_ends_in_order(event, code):
+    process, read_end = start_with_pipe(event)
+    try:
+        assert process.wait(20) == code
+    finally:
+        process.kill()
+        os.close(read_end)
+
+
+@pytest.mark.parametrize(("event", "code"), [(FLOOD_AND_STOP, 0), (FLOOD_AND_CRASH, 1)])
+def test_process_whose_output_pipe_is_closed_keeps_its_exit_code(event, code):
+    process, read_end = start_with_pipe(event)
+    os.close(read_end)
+    try:
+        assert process.wait(20) == code
+    finally:
+        process.kill()
+
+
+def test_reader_that_pauses_gets_the_whole_log():
+    process, read_end = start_with_pipe(FLOOD_AND_STOP)
+    with open(read_end, "rb") as pipe:
+        received = pipe.read(70_000)
+        time.sleep(0.1)
+        received += pipe.read()
+    assert process.wait(20) == 0
+    assert received.startswith(b"x" * 300_000 + b"\n")
+    assert b'"ring": "SIGTERM"' in received
