--- a/src/irisstand/cli/develop.py
+++ b/src/irisstand/cli/develop.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import sys
+import typing
 
 import click
 
@@ -123,12 +124,13 @@
     default=60,
     help="How long clients send in a run, in seconds.",
 )
+@click.option("--kills", is_flag=True, help="Kill processes, too; some lose their disks.")
 @folder_option
-def soak(*, first: int, runs: int, edges: int | None, seconds: float, folder: str) -> None:
+def soak(*, first: int, runs: int, folder: str, **options: typing.Any) -> None:
     """Run soak tests; exit with code 1 if one of them found a failure."""
     from irisstand.soak import runner
 
-    sys.exit(runner.run(range(first, first + runs), edges, seconds, folder, click.echo))
+    sys.exit(runner.run(range(first, first + runs), runner.SoakOptions(**options), folder, click.echo))
 
 
 @click.command(
--- a/src/irisstand/soak/fleet.py
+++ b/src/irisstand/soak/fleet.py
@@ -5,11 +5,12 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import sys
 import typing
 
-from irisstand.soak import records, shape
+from irisstand.soak import machine_limits, records, shape
 
 # Ports of every process at its own address: for other nodes, for HTTP of operators and probes, and for the
 # clients of edges.
@@ -21,7 +22,6 @@
 # Age below which a process may still be starting its Python interpreter and receives no SIGHUP.
 INTERPRETER_START_SECONDS = 0.3
 MEMORY_CHECK_SECONDS = 0.5
-BYTES_PER_MB = 1e6
 # Module that is run for a process of each role.
 PROGRAM_MODULES = {
     "direct": "irisstand.dataplane.program",
@@ -51,6 +51,7 @@
         processes: Latest started process by name.
         start_counts: How many times each process has been started, by name.
         started_at: Event loop time of the latest start of each process, in seconds.
+        lost_disks: Names of the processes whose disk is empty at the next start.
         is_stopping: Whether the run is over, so that a process that exits isn't started again.
         background_tasks: Tasks that restart the processes and measure their memory.
     """
@@ -66,6 +67,7 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.start_counts: dict[str, int] = dict.fromkeys(self.addresses, 0)
         self.started_at: dict[str, float] = {}
+        self.lost_disks: set[str] = set()
         self.is_stopping = False
         self.background_tasks: list[asyncio.Task[None]] = []
 
@@ -90,10 +92,12 @@
             "seeds": [f"{node.host}:{PORT}" for node in control[:3]],
             "farewell": lame_duck_seconds,
             "drain": shape.SHUTDOWN_SECONDS - lame_duck_seconds,
+            "replace_after": shape.REPLACE_VOTER_SECONDS,
         }
         if address.role == "agency":
             data = self.folder / address.name
             control_plane_settings = {"data": str(data), "found_by_seeds": True, "voters": len(control)}
+            control_plane_settings["may_found"] = self.start_counts[address.name] == 0
             control_plane_settings |= {
                 "platform": f"127.0.0.1:{self.platform_port}",
                 "platform_interval": 0.5,
@@ -125,6 +129,7 @@
                 stdout=log,
                 stderr=log,
                 env=dict(os.environ),
+                preexec_fn=machine_limits.LIMITS_BY_ROLE[address.role].apply,
             )
         self.start_counts[name] += 1
         self.started_at[name] = asyncio.get_running_loop().time()
@@ -135,15 +140,35 @@
             code = await self.processes[name].wait()
             if self.is_stopping:
                 return
-            stop = self.records.stops.get((name, self.start_counts[name]))
-            if stop is None:
-                self.records.unexpected_ends.append(f"{name} exited with code {code} without SIGTERM")
-            else:
-                stop.ended_at = asyncio.get_running_loop().time()
-                stop.code = code
+            self.record_exit(name, code)
             await asyncio.sleep(RESTART_DELAY_SECONDS)
+            if name in self.lost_disks:
+                self.lost_disks.remove(name)
+                shutil.rmtree(self.folder / name, ignore_errors=True)
             await self.start(name)
 
+    def record_exit(self, name: str, code: int) -> None:
+        """Record the exit of a process; one that was sent no signal ended by itself."""
+        key = (name, self.start_counts[name])
+        stop = self.records.stops.get(key)
+        if key in self.records.kills:
+            return
+        if stop is None:
+            self.records.unexpected_ends.append(f"{name} exited with code {code} without SIGTERM")
+            return
+        stop.ended_at = asyncio.get_running_loop().time()
+        stop.code = code
+
+    def kill(self, name: str, *, loses_disk: bool = False) -> None:
+        """Send SIGKILL to a process if it is running; its disk may be empty at the next start."""
+        process = self.processes[name]
+        if process.returncode is not None:
+            return
+        self.records.kills[name, self.start_counts[name]] = asyncio.get_running_loop().time()
+        process.kill()
+        if loses_disk:
+            self.lost_disks.add(name)
+
     def send_signal(self, name: str, signal_number: signal.Signals) -> None:
         """Send SIGTERM or SIGHUP to a process if it is running, and record the signal."""
         process = self.processes[name]
@@ -167,8 +192,12 @@
         while True:
             for name, process in self.processes.items():
                 role = self.addresses[name].role
-                used = resident_mb(process.pid)
+                used = machine_limits.resident_mb(process.pid)
                 self.records.peak_memory_mb[role] = max(self.records.peak_memory_mb.get(role, 0.0), used)
+                descriptors = machine_limits.open_descriptors(process.pid)
+                self.records.peak_descriptors[role] = max(
+                    self.records.peak_descriptors.get(role, 0), descriptors
+                )
             due_at = loop.time() + MEMORY_CHECK_SECONDS
             await asyncio.sleep(MEMORY_CHECK_SECONDS)
             lag = loop.time() - due_at
@@ -205,12 +234,3 @@
             name = f"{prefix}-{index + 1}"
             addresses[name] = ProcessAddress(name, role, f"z{index % plan.zones + 1}", f"{net}.{number}")
     return addresses
-
-
-def resident_mb(pid: int) -> float:
-    """Return the resident memory of a process in MB; 0 if the process has exited."""
-    try:
-        fields = pathlib.Path(f"/proc/{pid}/statm").read_text().split()
-    except OSError:
-        return 0.0
-    return int(fields[1]) * os.sysconf("SC_PAGE_SIZE") / BYTES_PER_MB
--- a/src/irisstand/soak/records.py
+++ b/src/irisstand/soak/records.py
@@ -94,20 +94,26 @@
         runs: Executions at origins by the id of their request.
         requests: Finished requests of all clients.
         stops: First SIGTERM to each started process, by the name and start number of the process.
-        unexpected_ends: One sentence for each exit of a process that had not been sent SIGTERM.
-        sighups: Number of signals other than SIGTERM that were sent; all of them are SIGHUP.
+        kills: Event loop time of each SIGKILL, by the name and start number of the process.
+        unexpected_ends: One sentence for each exit of a process that had been sent neither signal.
+        failed_checks: One sentence for each process that failed the check after the load.
+        sighups: Number of times that SIGHUP was sent.
         changes: Number of configurations that the control plane accepted.
         peak_memory_mb: Largest resident memory of a process by role, in MB.
+        peak_descriptors: Largest number of open descriptors of a process by role.
         longest_lag_seconds: Longest delay of the event loop that clients and origins share.
     """
 
     runs: dict[str, list[OriginRun]] = dataclasses.field(default_factory=dict)
     requests: list[ClientRequest] = dataclasses.field(default_factory=list)
     stops: dict[tuple[str, int], Stop] = dataclasses.field(default_factory=dict)
+    kills: dict[tuple[str, int], float] = dataclasses.field(default_factory=dict)
     unexpected_ends: list[str] = dataclasses.field(default_factory=list)
+    failed_checks: list[str] = dataclasses.field(default_factory=list)
     sighups: int = 0
     changes: int = 0
     peak_memory_mb: dict[str, float] = dataclasses.field(default_factory=dict)
+    peak_descriptors: dict[str, int] = dataclasses.field(default_factory=dict)
     longest_lag_seconds: float = 0.0
 
     def add_run(self, run: OriginRun) -> None:
--- a/src/irisstand/soak/runner.py
+++ b/src/irisstand/soak/runner.py
@@ -10,7 +10,17 @@
 
 import aiohttp
 
-from irisstand.soak import clients, fleet, records, schedule, shape, slow_origin, verdict
+from irisstand.soak import (
+    clients,
+    final_check,
+    fleet,
+    kills,
+    records,
+    schedule,
+    shape,
+    slow_origin,
+    verdict,
+)
 
 # Number of origin instances of the services "content" and "app".
 CONTENT_ORIGINS = 2
@@ -24,6 +34,20 @@
 PrintLine = collections.abc.Callable[[str], object]
 
 
+class SoakOptions(typing.NamedTuple):
+    """What all runs of a series have in common.
+
+    Attributes:
+        edges: Number of edges; None to draw it from the seed.
+        seconds: How long clients send requests in each run, in seconds.
+        kills: Whether processes are killed, too, and lose their disks.
+    """
+
+    edges: int | None
+    seconds: float
+    kills: bool
+
+
 class SoakReport(typing.NamedTuple):
     """Violations that a run found, and its figures by name."""
 
@@ -65,6 +89,7 @@
                 raise TimeoutError("no control plane node accepted the first configuration")
             await operator.wait_ready()
             await send_load(plan, processes, operator)
+            await final_check.FinalCheck(processes, session).run(operator.accepted_version)
     finally:
         await processes.stop_all()
         platform.stop()
@@ -77,7 +102,8 @@
     """Run all clients and the schedule of signals and changes at the same time."""
     end_at = asyncio.get_running_loop().time() + plan.seconds
     client_runs = [clients.Client(number, plan, processes).run(end_at) for number in range(plan.clients)]
-    await asyncio.gather(schedule.Schedule(plan, processes, operator).run(), *client_runs)
+    troubles = [schedule.Schedule(plan, processes, operator).run(), kills.Kills(plan, processes).run()]
+    await asyncio.gather(*troubles, *client_runs)
 
 
 def summarize(run_records: records.Records) -> dict[str, object]:
@@ -94,26 +120,23 @@
         "runs at origins": sum(map(len, run_records.runs.values())),
         "stops": len(run_records.stops),
         "longest shutdown in seconds": round(max(stop_seconds, default=0.0), 2),
+        "kills": len(run_records.kills),
         "SIGHUPs": run_records.sighups,
         "changes": run_records.changes,
         "longest event loop lag in seconds": round(run_records.longest_lag_seconds, 3),
         "peak resident MB by role": {role: round(used) for role, used in run_records.peak_memory_mb.items()},
+        "peak descriptors by role": run_records.peak_descriptors,
     }
 
 
 def run(
-    seeds: collections.abc.Iterable[int],
-    edges: int | None,
-    seconds: float,
-    folder: str,
-    print_line: PrintLine,
+    seeds: collections.abc.Iterable[int], options: SoakOptions, folder: str, print_line: PrintLine
 ) -> int:
     """Play one run for each seed and return the exit status: 1 if any run had a violation.
 
     Args:
         seeds: Seeds of the runs.
-        edges: Number of edges; None to draw it from the seed.
-        seconds: How long clients send requests in each run, in seconds.
+        options: What the runs have in common.
         folder: Directory for settings, data and logs; empty for a temporary directory.
         print_line: Prints one line of the report.
     """
@@ -123,7 +146,7 @@
             base = folder or stack.enter_context(tempfile.TemporaryDirectory(prefix="irisstand-soak-"))
             path = pathlib.Path(base) / f"seed-{seed}"
             path.mkdir(parents=True, exist_ok=True)
-            plan = shape.draw(seed, edges, seconds)
+            plan = shape.draw(seed, options.edges, options.seconds, kills=options.kills)
             print_line(f"seed {seed}: {plan}")
             report = asyncio.run(run_seed(plan, path))
         print_line(f"seed {seed}: {report.figures}")
--- a/src/irisstand/soak/schedule.py
+++ b/src/irisstand/soak/schedule.py
@@ -25,6 +25,8 @@
 SETTLE_SECONDS = 2.0
 # Connections that each origin of the service "app" accepts from all nodes together.
 APPLICATION_CONNECTIONS = 400
+# Kind of each route by its name.
+ROUTE_KINDS = {"objects": "cacheable", "reads": "idempotent", "writes": "non_idempotent"}
 
 
 class Action(enum.StrEnum):
@@ -74,6 +76,7 @@
         fleet: Processes of the run.
         session: HTTP session of all calls.
         version: Version of the latest configuration that was sent.
+        accepted_version: Newest version that a control plane node accepted.
     """
 
     def __init__(self, plan: shape.SoakShape, processes: fleet.Fleet, session: aiohttp.ClientSession) -> None:
@@ -81,6 +84,7 @@
         self.fleet = processes
         self.session = session
         self.version = 0
+        self.accepted_version = 0
 
     async def submit_configuration(self, rate_factor: float = 1.0, *, is_first: bool = False) -> bool:
         """Send a new version of the configuration to each control plane node in turn until one accepts it.
@@ -93,6 +97,7 @@
             Whether a node accepted the configuration in time.
         """
         self.version += 1
+        version = self.version
         body = self.configuration(rate_factor)
         give_up_at = asyncio.get_running_loop().time() + (
             FIRST_ORDER_SECONDS if is_first else LATER_ORDER_SECONDS
@@ -103,6 +108,7 @@
                 async with self.session.post(url, json=body) as response:
                     if response.status == HTTP_OK:
                         self.fleet.records.changes += 1
+                        self.accepted_version = max(self.accepted_version, version)
                         return True
             except (aiohttp.ClientError, TimeoutError):
                 pass
@@ -113,7 +119,6 @@
 
     def configuration(self, rate_factor: float) -> dict[str, typing.Any]:
         """Return an order with all items; the `target` of the routes differs from version to version."""
-        kinds = {"objects": "cacheable", "reads": "idempotent", "writes": "non_idempotent"}
         routes: list[dict[str, typing.Any]] = [
             {
                 "name": name,
@@ -129,7 +134,7 @@
                 "regions": [],
                 "service": "content" if name == "objects" else "app",
             }
-            for name, kind in kinds.items()
+            for name, kind in ROUTE_KINDS.items()
         ]
         content = {"name": "content", "rate": self.plan.rate * rate_factor}
         application = {"name": "app", "rate": None, "connections": APPLICATION_CONNECTIONS}
--- a/src/irisstand/soak/shape.py
+++ b/src/irisstand/soak/shape.py
@@ -10,8 +10,12 @@
 OTHER_LAME_DUCK_SECONDS = 0.3
 # Lame duck and drain time together; less than the grace period.
 SHUTDOWN_SECONDS = 5.5
+# A voter that is missing for this long is replaced.
+REPLACE_VOTER_SECONDS = 1.2
 # Fraction of the runs in which clients read responses slowly.
 SLOW_READER_SHARE = 0.3
+# Average time between two kills.
+SECONDS_PER_KILL = 5.0
 # From this number of edges on, a run always has `LARGE_FLEET_HOLDERS` holders.
 LARGE_FLEET_EDGES = 40
 LARGE_FLEET_HOLDERS = 10
@@ -48,6 +52,7 @@
         deadlines: Timeouts in seconds, one of which a client draws for each request.
         is_thin: Whether clients are thin clients, which read responses slowly.
         stops: Number of times that an edge is to be sent SIGTERM.
+        kills: Number of times that processes are to be sent SIGKILL.
     """
 
     seed: int
@@ -64,15 +69,17 @@
     deadlines: tuple[float, ...]
     is_thin: bool
     stops: int
+    kills: int = 0
 
 
-def draw(seed: int, edges: int | None, seconds: float) -> SoakShape:
+def draw(seed: int, edges: int | None, seconds: float, *, kills: bool = False) -> SoakShape:
     """Draw the parameters of a run from its seed.
 
     Args:
         seed: Seed of the run.
         edges: Number of edges; None to draw it from the seed.
         seconds: How long clients send requests, in seconds.
+        kills: Whether processes are killed, too, and lose their disks.
     """
     randomness = random.Random(seed)
     count = edges or randomness.choice((5, 8, 12, 16))
@@ -93,4 +100,5 @@
         deadlines=randomness.choice(((5.4, 9.9), (3.3, 5.4), (2.5, 9.3))),
         is_thin=is_thin,
         stops=max(3, int(seconds * count / 40)),
+        kills=max(3, round(seconds / SECONDS_PER_KILL)) if kills else 0,
     )
--- a/src/irisstand/soak/verdict.py
+++ b/src/irisstand/soak/verdict.py
@@ -8,7 +8,7 @@
 import signal
 import typing
 
-from irisstand.soak import records, shape
+from irisstand.soak import machine_limits, records, shape
 
 # A request that is sent while the edge closes the connection stays unread and ends within this time.
 CROSSING_CLOSE_SECONDS = 0.2
@@ -21,6 +21,9 @@
 # Work of an origin that ends at most this long after a node's own response counts as ended before it.
 RESPONSE_MARGIN_SECONDS = 0.02
 
+# A kill excuses requests that are sent within this time after it.
+CONTACT_SECONDS = 3.0
+
 # HTTP statuses by which a node states that the request was not executed and never will be.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -53,6 +56,10 @@
         self.violations += [
             Violation("a process exited without SIGTERM", text) for text in run_records.unexpected_ends
         ]
+        self.violations += [
+            Violation("a process failed the check after the load", text) for text in run_records.failed_checks
+        ]
+        self.check_resources()
 
     def check_write(self, request: records.ClientRequest) -> None:
         """Check that a write ran at most once, and never if the response says that it did not run."""
@@ -71,7 +78,7 @@
         if request.ended_at >= request.deadline_at - DEADLINE_MARGIN_SECONDS:
             return
         runs = self.records.runs.get(request.request_id, [])
-        if self.is_excused(request):
+        if self.is_excused(request) or self.is_near_kill(request):
             return
         if request.end is records.RequestEnd.CLOSED:
             if runs or request.ended_at - request.sent_at > CROSSING_CLOSE_SECONDS:
@@ -95,6 +102,20 @@
         excused_from = stop.sent_at + EXCUSED_FROM_SECONDS
         return request.ended_at >= excused_from and any(run.ended_at >= excused_from for run in runs)
 
+    def is_near_kill(self, request: records.ClientRequest) -> bool:
+        """Return whether any process was killed shortly before the request or before its end."""
+        earliest = request.sent_at - CONTACT_SECONDS
+        return any(earliest <= killed_at <= request.ended_at for killed_at in self.records.kills.values())
+
+    def check_resources(self) -> None:
+        """Check that no process used more memory or descriptors than its machine has."""
+        for role, limits in machine_limits.LIMITS_BY_ROLE.items():
+            used_mb = self.records.peak_memory_mb.get(role, 0.0)
+            descriptors = self.records.peak_descriptors.get(role, 0)
+            if used_mb > limits.memory_mb or descriptors >= limits.descriptors:
+                detail = f"{role}: {used_mb:.0f} MB, {descriptors} descriptors, of {limits}"
+                self.violations.append(Violation("a process used all of its machine", detail))
+
     def check_stop(self, stop: records.Stop) -> None:
         """Check that a process exited within the grace period after SIGTERM and with exit code 0."""
         if stop.code is None:
--- a/tests/programs/test_soak.py
+++ b/tests/programs/test_soak.py
@@ -83,3 +83,23 @@
     report = asyncio.run(runner.run_seed(shape.draw(seed, 8, CI_SECONDS), tmp_path))
     assert report.violations == []
     assert int(str(report.figures["requests"])) > 100
+
+
+def test_kill_excuses_only_requests_near_it():
+    lost = make_request(CLOSED, 100.7)
+    for killed_at, expected in ((96.9, 1), (97.1, 0), (100.6, 0), (100.8, 1)):
+        run_records = records.Records(requests=[lost], kills={("edge-2", 1): killed_at})
+        assert len(verdict.Verdict(run_records).violations) == expected, killed_at
+
+
+def test_process_above_the_memory_of_its_machine_is_a_violation():
+    for used_mb, expected in ((259.0, 0), (261.0, 1)):
+        run_records = records.Records(peak_memory_mb={"direct": used_mb})
+        assert len(verdict.Verdict(run_records).violations) == expected, used_mb
+
+
+def test_no_process_ends_by_itself_under_limits_and_kills_in_a_short_soak(tmp_path):
+    plan = shape.draw(501, 8, CI_SECONDS, kills=True)
+    report = asyncio.run(runner.run_seed(plan, tmp_path))
+    assert report.violations == []
+    assert int(str(report.figures["kills"])) >= 3
