Crowds of clients that do not behave: tests and bounds, failing on the code as it is

While they are still connected, the process must live, its peak of resident memory must stay below the memory of its machine, its descriptors below their limit, and ordinary requests must be answered in the end. No times, no shares.

--- a/tests/support/deployed_programs.py
+++ b/tests/support/deployed_programs.py
@@ -31,16 +31,17 @@
         folder: Where settings, data and logs are kept.
         limits: The machine's limits by the first part of a process's name; a process without an entry has
             none, and all variables of this process. A holder runs beside shield-1 if it has an entry.
+        make_origin: Returns an origin.
     """
 
-    def __init__(self, folder, limits=None):
+    def __init__(self, folder, limits=None, make_origin=upstream_emulator.UpstreamEmulator):
         self.folder = str(folder)
         self.limits = limits or {}
         first_port = processes.free_ports(1)[0]
         self.ports = (min(first_port, 60000), *processes.free_ports(3))
         self.processes = {}
         self.origins = [
-            upstream_emulator.UpstreamEmulator(service, f"i-{service}{number}", f"z{number}", HEADER_NAMES)
+            make_origin(service, f"i-{service}{number}", f"z{number}", HEADER_NAMES)
             for service in ("content", "app")
             for number in (1, 2)
         ]
@@ -76,7 +77,9 @@
     async def start(self, name, number, zone):
         kind = name.partition("-")[0]
         limits = self.limits.get(kind)
-        given = {} if limits is None else limits._asdict()
+        given = {}
+        if limits is not None:
+            given = {"memory_mb": limits.memory_mb, "descriptors": limits.descriptors}
         path = deployed_settings.write_settings(
             name, number, self.ports, zone, self.platform_address, self.folder, **given
         )
@@ -126,6 +129,27 @@
             {"instance_set": entries[2 * page : 2 * page + 2], "next_token": next_page}
         )
 
+    def address_of_pages(self, name):
+        """Return the host and port of the HTTP pages of a process."""
+        if "shield" in name:
+            return f"127.0.7.{name[-1]}", self.ports[1]
+        return "127.0.7.4", self.ports[3]
+
+    def address_of_frames(self, name):
+        """Return the host and port on which a process takes frames of other nodes."""
+        if "shield" in name:
+            return f"127.0.7.{name[-1]}", self.ports[0]
+        return "127.0.7.4", self.ports[0] + 1
+
+    async def shows_pages(self, name):
+        """Return whether a process answers on its HTTP pages."""
+        url = "http://{}:{}/_irisstand/live".format(*self.address_of_pages(name))
+        try:
+            async with self.session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
     # -- operator --------------------------------------------------------------------------------
     async def call(self, method, path, body=None, node=1):
         content = body if isinstance(body, bytes) or body is None else json.dumps(body).encode()
--- a/tests/support/deployed_settings.py
+++ b/tests/support/deployed_settings.py
@@ -22,14 +22,16 @@
 
 
 class MachineLimits(typing.NamedTuple):
-    """What a machine allows a process: memory, enforced as address space, and file descriptors."""
+    """What a machine allows a process: memory, which may be enforced as address space, and descriptors."""
 
     memory_mb: int
     descriptors: int = 4096
+    enforced: bool = True
 
     def apply(self):
         """Set the limits of this process."""
-        resource.setrlimit(resource.RLIMIT_AS, (self.memory_mb * BYTES_PER_MB,) * 2)
+        if self.enforced:
+            resource.setrlimit(resource.RLIMIT_AS, (self.memory_mb * BYTES_PER_MB,) * 2)
         resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors,) * 2)
 
 
