Frames between nodes: a large one is read once the budget has room for it

Callers saw a process killed for memory by connections to the port between nodes: 45 frames of 8 MB that stop short of their end took a control plane node of 110 MB to 410, an edge of 100 MB to 404. Cause and class are those of the budget: the frame's length had a limit, the sum of all frames had none. Frames over 64 KiB wait for room, and one that stalls for over a second gives way to others. Sought elsewhere: datagrams are small, connections to peers have the same limit.

--- a/src/irisstand/controlplane/program.py
+++ b/src/irisstand/controlplane/program.py
@@ -51,14 +51,16 @@
     Returns:
         The node's context, and the function that closes the operators' listener.
     """
+    real_network = network.RealNetwork()
     control_node = assembly.ControlNode(
         settings,
         clocks.MonotonicClock(),
         random.SystemRandom(),
-        network.RealNetwork(),
+        real_network,
         disk.FolderDisk(pathlib.Path(settings.data)),
         fetch_origins,
     )
+    real_network.budget = control_node.context.budget
     await control_node.open()
     listener = OperatorListener(control_node, events)
     control_node.context.start_task(listener.open(), "operators' listener")
--- a/src/irisstand/dataplane/program.py
+++ b/src/irisstand/dataplane/program.py
@@ -25,9 +25,9 @@
     Returns:
         The node's context, and a function that closes its listeners.
     """
-    data_node = assembly.DataNode(
-        settings, clocks.MonotonicClock(), random.SystemRandom(), network.RealNetwork()
-    )
+    real_network = network.RealNetwork()
+    data_node = assembly.DataNode(settings, clocks.MonotonicClock(), random.SystemRandom(), real_network)
+    real_network.budget = data_node.context.budget
     await data_node.open()
     context = data_node.context
     # A node without an HTTP port has no pages for operators, and does not load the HTTP library.
--- a/src/irisstand/transport/network.py
+++ b/src/irisstand/transport/network.py
@@ -5,7 +5,7 @@
 import struct
 import typing
 
-from irisstand import errors, listening_sockets
+from irisstand import errors, listening_sockets, resource_budget
 from irisstand.transport import codec
 
 Address = tuple[str, int]
@@ -54,6 +54,9 @@
         ...
 
 
+# Larger frames count in the budget of the process.
+SMALL_FRAME_BYTES = 64 * 1024
+
 OnStream = collections.abc.Callable[[Stream], collections.abc.Awaitable[None]]
 OnDatagram = collections.abc.Callable[[bytes, Address], None]
 
@@ -75,11 +78,23 @@
 
 
 class TcpStream:
-    """A stream of frames over one TCP connection; each frame is a four-byte length and a payload."""
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """A stream of frames over one TCP connection; each frame is a four-byte length and a payload.
+
+    Args:
+        reader: Where frames are read from.
+        writer: Where frames are written to.
+        budget: The budget in which large frames count while they are received; None if they do not.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        budget: resource_budget.ResourceBudget | None = None,
+    ) -> None:
         self.reader = reader
         self.writer = writer
+        self.budget = budget
 
     async def read(self) -> bytes:
         """Return the payload of the next frame.
@@ -93,10 +108,42 @@
             # Checked before the payload is read: a malicious length must not make this process allocate it.
             if length > codec.FRAME_LIMIT_BYTES:
                 raise errors.MalformedFrameError(f"the frame length of {length} bytes exceeds the limit")
-            return await self.reader.readexactly(length)
+            if self.budget is None or length <= SMALL_FRAME_BYTES:
+                return await self.reader.readexactly(length)
+            return await self._read_large(length, self.budget)
         except asyncio.IncompleteReadError:
             raise ConnectionResetError("the peer closed the connection") from None
 
+    async def _read_large(self, length: int, budget: resource_budget.ResourceBudget) -> bytes:
+        """Read the payload of a large frame, once the budget has room for it."""
+        holding = budget.open(self)
+        try:
+            granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            if not budget.set_when_possible(holding, length, lambda: granted.set_result(None)):
+                await granted
+            if not holding.is_open():
+                raise ConnectionResetError("the connection was closed to make room for others")
+            payload = bytearray(length)
+            received = 0
+            while received < length:
+                piece = await self.reader.read(min(SMALL_FRAME_BYTES, length - received))
+                if not piece:
+                    raise asyncio.IncompleteReadError(b"", length)
+                holding.speed.add(len(piece))
+                payload[received : received + len(piece)] = piece
+                received += len(piece)
+            return bytes(payload)
+        finally:
+            holding.close()
+
+    def is_evictable(self) -> bool:
+        """Return whether the connection waits for its peer: it is asked only in the midst of a frame."""
+        return True
+
+    def evict(self) -> None:
+        """Close the connection at once."""
+        self.writer.transport.abort()
+
     def write(self, payload: bytes) -> None:
         """Queue a frame for sending; raises ConnectionResetError if the connection is closed."""
         # uvloop closes a transport before it calls connection_lost(), and drops what is written in between.
@@ -143,7 +190,14 @@
 
 
 class RealNetwork:
-    """The TCP and UDP network of the operating system."""
+    """The TCP and UDP network of the operating system.
+
+    Attributes:
+        budget: The budget in which large frames of peers count; None until the node sets it.
+    """
+
+    def __init__(self) -> None:
+        self.budget: resource_budget.ResourceBudget | None = None
 
     async def connect(self, address: Address) -> Stream:
         """Open a TCP connection."""
@@ -154,7 +208,7 @@
         """Accept TCP connections at `address`, and call `on_stream` for each in a task of its own."""
 
         async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await on_stream(TcpStream(reader, writer))
+            await on_stream(TcpStream(reader, writer, self.budget))
 
         return await asyncio.start_server(accept, sock=listening_sockets.bind_tcp(*address))
 
