--- a/tests/support/deployed_programs.py
+++ b/tests/support/deployed_programs.py
@@ -6,7 +6,6 @@
 import pathlib
 import signal
 import sys
-import tomllib
 
 import aiohttp
 import aiohttp.web
@@ -37,6 +36,8 @@
     def __init__(self, folder, limits=None, make_origin=upstream_emulator.UpstreamEmulator):
         self.folder = str(folder)
         self.limits = limits or {}
+        # The folder that processes are started in.
+        self.root = ROOT
         first_port = processes.free_ports(1)[0]
         self.ports = (min(first_port, 60000), *processes.free_ports(3))
         self.processes = {}
@@ -83,20 +84,23 @@
         path = deployed_settings.write_settings(
             name, number, self.ports, zone, self.platform_address, self.folder, **given
         )
-        program = {"shield": "core_node.py", "holder": "holder_node.py", "edge": "edge_node.py"}[kind]
         variables = {
             name: os.environ[name] for name in deployed_settings.PLATFORM_VARIABLES if name in os.environ
         }
         environment = os.environ if limits is None else variables
         self.processes[name] = await asyncio.create_subprocess_exec(
-            sys.executable,
-            f"platform/{program}",
-            cwd=ROOT,
+            *self.command_of(kind),
+            cwd=self.root,
             env={**environment, platform_settings.SETTINGS_FILE_VARIABLE: str(path)},
             stderr=self.open_log(name) if limits is not None else asyncio.subprocess.PIPE,
             preexec_fn=None if limits is None else limits.apply,
         )
 
+    def command_of(self, kind):
+        """Return the command that starts a process of a kind."""
+        program = {"shield": "core_node.py", "holder": "holder_node.py", "edge": "edge_node.py"}[kind]
+        return [sys.executable, f"platform/{program}"]
+
     def open_log(self, name):
         return open(pathlib.Path(self.folder) / f"{name}.log", "ab")
 
@@ -244,7 +248,3 @@
     async def terminate(self, name):
         self.processes[name].send_signal(signal.SIGTERM)
         return await self.processes[name].wait()
-
-
-def wire():
-    return tomllib.loads((ROOT / "deploy" / "wire.toml").read_text())
