--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -14,18 +14,26 @@
 BYTES_PER_MB = 1e6
 CONNECT_SECONDS = 5
 PIECE_BYTES = 64 * 1024
+ENDLESS_BYTES = 1_000_000_000
+# A slow reader takes this much at a time, and then waits.
+SLOW_READ_BYTES = 2048
+SLOW_READ_SECONDS = 0.1
+FIRST_BYTES_SECONDS = 10
 
 
 class LargeAnswerOrigin(upstream_emulator.UpstreamEmulator):
     """An origin whose answers to requests for large objects have a body of `answer_bytes`.
 
-    It takes `slow_seconds` for requests for slow objects.
+    It takes `slow_seconds` for requests for slow objects. Its answers to requests for endless objects go on
+    until the connection ends or `ENDLESS_BYTES` are sent.
     """
 
     answer_bytes = 0
     slow_seconds = 0.0
 
     async def serve(self, request):
+        if "endless" in request.path:
+            return await self.serve_endless(request)
         if "slow" in request.path:
             await request.read()
             await asyncio.sleep(self.slow_seconds)
@@ -45,6 +53,20 @@
         }
         return aiohttp.web.Response(body=content, headers=headers)
 
+    async def serve_endless(self, request):
+        headers = {
+            self.header_names.request_id: request.headers.get(self.header_names.request_id, ""),
+            self.header_names.instance: self.instance,
+            self.header_names.digest: "endless",
+        }
+        response = aiohttp.web.StreamResponse(headers=headers)
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        with contextlib.suppress(ConnectionError):
+            for _ in range(ENDLESS_BYTES // PIECE_BYTES):
+                await response.write(b"x" * PIECE_BYTES)
+        return response
+
 
 class Crowd:
     """Clients that each send a message on a connection of their own, and stay connected.
@@ -85,6 +107,35 @@
                     await writer.drain()
 
 
+async def read_slowly(address, message, seconds):
+    """Send a message, and read the response a little at a time, until a node ends it or the time is over."""
+    writer = None
+    with contextlib.suppress(OSError, TimeoutError):
+        async with asyncio.timeout(seconds):
+            reader, writer = await asyncio.open_connection(*address, limit=SLOW_READ_BYTES)
+            writer.get_extra_info("socket").setsockopt(1, 8, 2 * SLOW_READ_BYTES)
+            writer.write(message)
+            piece = await reader.read(SLOW_READ_BYTES)
+            while piece:
+                await asyncio.sleep(SLOW_READ_SECONDS)
+                piece = await reader.read(SLOW_READ_BYTES)
+    if writer is not None:
+        writer.transport.abort()
+
+
+async def drop_answers(address, messages):
+    """Send each message on a connection of its own, and end that as soon as the response begins."""
+    for message in messages:
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(FIRST_BYTES_SECONDS):
+                reader, writer = await asyncio.open_connection(*address)
+                try:
+                    writer.write(message)
+                    await reader.read(1)
+                finally:
+                    writer.transport.abort()
+
+
 def request_head(method, path, *headers):
     """Return the head of a request within the limits."""
     lines = [
