Hedged requests: the late response is freed when it comes, not by the garbage collector

What callers saw: an edge of 300 MB killed, 3 times of 3, by 40 clients that ask for answers of 9 MB and drop them.

Cause: a request's call refers to its attempts in flight, and each attempt by its check after a wait to the call. When one of two hedged attempts has answered, the other stays in the call. Its response, 9 MB, comes later and is kept by that cycle until the garbage collector looks at the oldest generation, which it does rarely.

Evidence: a scan of all objects of the edge under that crowd found 24 of 36 large bodies referred to by an `Answer` in a finished task of `AttemptSender.run` alone; the budget counted 92 MB, 371 MB were resident. A collection freed 5,656 objects, and 81 MB were left. Each such task was a key of `Call.running`, the call an argument of `check_again` of the attempt beside it.

Change: the call forgets its attempts when it ends. The test, which turns the collector off, found one late answer alive before and finds none now.

--- a/src/irisstand/dataplane/upstream/client.py
+++ b/src/irisstand/dataplane/upstream/client.py
@@ -144,6 +144,10 @@
             for task, attempt in call.running.items():
                 self.attempts.give_up(task, attempt, call.retry_policy)
             raise
+        finally:
+            # Attempts refer to their call: as long as it refers to them, too, only the garbage collector
+            # would free their responses.
+            call.running.clear()
 
     def policy_for(
         self, route: routes.Route, service: str, remaining: float
