Chunked bodies: decoded many chunks at a time, with a turn for others in between

Cause: sanic reads one chunk at a time, through a signal dispatch, and the reader of the body goes on without a pause as long as chunks are in the buffer. A full buffer of 64 kB has some 11,000 such chunks: while one connection works them off, no other has a turn of the event loop. Pipelined requests whose answers don't wait have the same effect.

Change: `ChunkedDecoder` decodes up to 256 chunks from the buffer in a call; with more in the buffer, the connection lets the others have their turn first. So it does before a request that came together with the one before.

The mutations of the old check of chunk lines are replaced by two of the decoder.

--- a/src/irisstand/http1/grammar.py
+++ b/src/irisstand/http1/grammar.py
@@ -23,8 +23,8 @@
 # A decimal number of at most 18 digits: enough for any length or time, and fewer digits than `int` rejects.
 WHOLE_NUMBER = re.compile(r"[0-9]{1,18}")
 # The line with a chunk's size, and in front of it the line break that ends the head or the previous chunk
-# (RFC 9112, section 7.1).
-CHUNK_LINE = re.compile(rb"\r\n[0-9A-Fa-f]{1,16}(?:[ \t]*;" + _VALUE + rb")?\r\n")
+# (RFC 9112, section 7.1). The group is the size.
+CHUNK_LINE = re.compile(rb"\r\n([0-9A-Fa-f]{1,16})(?:[ \t]*;" + _VALUE + rb")?\r\n")
 
 
 def whole_number(text: str) -> int | None:
--- a/src/irisstand/http1/strict_protocol.py
+++ b/src/irisstand/http1/strict_protocol.py
@@ -13,12 +13,10 @@
 import sanic.server.protocols.http_protocol
 
 from irisstand import errors, shared_bodies
-from irisstand.http1 import connection_budget, grammar, request_head
+from irisstand.http1 import chunked_coding, connection_budget, request_head
 
 _HEAD_END = b"\r\n\r\n"
 _CHUNKED = "chunked"
-# The greatest length of the line with a chunk's size and extensions.
-CHUNK_LINE_LIMIT_BYTES = 256
 # A larger response is sent in slices of this size, each once the client has read most of the one before.
 SLICE_BYTES = shared_bodies.LARGE_BODY_BYTES
 
@@ -28,11 +26,13 @@
 
     Attributes:
         head: The parsed head of the request that is being answered.
+        decoder: Decodes the body of the request if it is chunked.
     """
 
-    __slots__ = ("head",)
+    __slots__ = ("decoder", "head")
 
     head: request_head.RequestHead
+    decoder: chunked_coding.ChunkedDecoder
     # A `StrictHttpProtocol`; sanic declares the class of its own protocol.
     protocol: typing.Any
 
@@ -42,6 +42,10 @@
         Raises:
             sanic.exceptions.BadRequest: The head is malformed or ambiguous.
         """
+        if not self.protocol.has_received:
+            # The client has sent many requests at once: other connections have their turn before the next.
+            await asyncio.sleep(0)
+        self.protocol.has_received = False
         end = await self._receive_head()
         if end >= 0:
             try:
@@ -73,16 +77,15 @@
             await self._receive_more()
 
     async def read(self) -> bytes | None:
-        """Read a piece of the body, and check each chunk's size line before Sanic parses it.
+        """Read a piece of the body.
 
         Raises:
             sanic.exceptions.BadRequest: The chunked body is malformed.
             sanic.exceptions.PayloadTooLarge: The body is over the size limit.
+            sanic.exceptions.ServiceUnavailable: This process has no memory left for the piece.
         """
         body_kind: typing.Any = self.request_body
-        if body_kind == _CHUNKED and self.request_bytes_left == 0:
-            await self._check_chunk_line()
-        piece: bytes | None = await super().read()
+        piece: bytes | None = await (self._read_chunks() if body_kind == _CHUNKED else super().read())
         if piece and not self.protocol.budget.take_piece(len(piece)):
             # Otherwise sanic would read the rest of the body before it closes the connection.
             self.request_body = None
@@ -94,6 +97,7 @@
         """Prepare for the next request; the body of the last one is held no more."""
         parent: typing.Any = super()
         parent.init_for_request()
+        self.decoder = chunked_coding.ChunkedDecoder()
         self.protocol.budget.end_body()
 
     async def http1_response_header(self, data: bytes, end_stream: bool) -> None:  # noqa: FBT001 - sanic's
@@ -128,19 +132,34 @@
         finally:
             budget.end_response()
 
-    async def _check_chunk_line(self) -> None:
-        """Receive the size line of a chunk, and check it together with the line break in front of it."""
+    async def _read_chunks(self) -> bytes | None:
+        """Read the content of the chunks that have arrived, up to a limit; None at the end of the body."""
         # A client that sent `Expect: 100-continue` waits for this response before it sends the body.
         if self.expecting_continue:
             self.expecting_continue = False
             await self._send(sanic.http.http1.HTTP_CONTINUE)
-        while self.recv_buffer.find(b"\n", len(b"\r\n")) < 0:
-            if len(self.recv_buffer) > CHUNK_LINE_LIMIT_BYTES:
-                break
+        while True:
+            content = self._decode_chunks()
+            if content:
+                if self.recv_buffer:
+                    # More chunks have arrived, and other connections have their turn first.
+                    await asyncio.sleep(0)
+                return content
+            if self.decoder.is_complete:
+                self.request_body = None
+                return None
             await self._receive_more()
-        if grammar.CHUNK_LINE.match(self.recv_buffer) is None:
+
+    def _decode_chunks(self) -> bytes:
+        try:
+            content = self.decoder.decode(self.recv_buffer)
+        except errors.BadRequestError as error:
+            self.keep_alive = False
+            raise sanic.exceptions.BadRequest(str(error)) from None
+        if self.decoder.declared_bytes > self.request_max_size:
             self.keep_alive = False
-            raise sanic.exceptions.BadRequest("the chunked request body is malformed")
+            raise sanic.exceptions.PayloadTooLarge("Request body exceeds the size limit")
+        return content
 
 
 class StrictHttpProtocol(sanic.server.protocols.http_protocol.HttpProtocol):
@@ -148,16 +167,19 @@
 
     Attributes:
         budget: What the connection holds of the budget of the process, `app.ctx.budget`.
+        has_received: Whether bytes have arrived since the head of the last request was read.
     """
 
-    __slots__ = ("budget",)
+    __slots__ = ("budget", "has_received")
 
     HTTP_CLASS = StrictHttp
     budget: connection_budget.ConnectionBudget
+    has_received: bool
 
     def connection_made(self, transport: typing.Any) -> None:
         """Serve a new connection, unless the process has too many."""
         parent: typing.Any = super()
+        self.has_received = False
         parent.connection_made(transport)
         process_budget = self.app.ctx.budget
         holding = process_budget.open_connection(self)
@@ -167,6 +189,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Pass on the next bytes of the client, and count them."""
+        self.has_received = True
         super().data_received(data)
         self.budget.receive(len(data))
 
--- a/tests/mutation/http_mutations.py
+++ b/tests/mutation/http_mutations.py
@@ -13,10 +13,16 @@
         SMUGGLING,
     ),
     (
-        "http1/strict_protocol.py",
-        "            await self._check_chunk_line()\n",
+        "http1/chunked_coding.py",
+        "            _check_may_be_incomplete(buffer, position)\n",
         "            pass\n",
-        SMUGGLING,
+        "http1/test_chunked_coding.py",
+    ),
+    (
+        "http1/chunked_coding.py",
+        "        if not buffer.startswith(_LINE_END):\n",
+        "        if False:\n",
+        "http1/test_chunked_coding.py",
     ),
     (
         "http1/strict_protocol.py",
