--- a/src/irisstand/dataplane/cache/object_cache.py
+++ b/src/irisstand/dataplane/cache/object_cache.py
@@ -1,18 +1,16 @@
-"""An LRU cache of objects that is bounded by bytes, and the coalescing of equal requests."""
+"""An LRU cache of objects that is bounded by bytes."""
 
-import asyncio
 import collections
-import collections.abc
-import typing
 
 from irisstand import resource_budget
-from irisstand.dataplane.cache import objects
+from irisstand.dataplane.cache import objects, stored_body
+from irisstand.http1 import body_source
 
+# An object whose body is passed on is kept if it takes up no more than this part of the cache's room.
+FILL_FRACTION = 0.25
 # The approximate memory that a cache entry uses beside the body of its object.
 ENTRY_OVERHEAD_BYTES = 300
 
-Result = typing.TypeVar("Result")
-
 
 class ObjectCache:
     """A cache of objects by key that evicts the least recently used ones.
@@ -35,6 +33,8 @@
             budget.caches.append(self)
         self.size = 0
         self.entries: collections.OrderedDict[str, objects.CachedObject] = collections.OrderedDict()
+        # The large bodies that are being passed on, the oldest first; their bytes are in `size`.
+        self.fills: dict[stored_body.CacheFill, None] = {}
 
     def get(self, key: str) -> objects.CachedObject | None:
         """Return the object of a key and mark it as the most recently used one; None if it is not cached."""
@@ -45,83 +45,67 @@
 
     def put(self, key: str, content: objects.CachedObject) -> None:
         """Cache an object, and evict the least recently used ones until all fit into the limit."""
-        self.drop(key)
+        previous = self.entries.get(key)
+        # A revalidated object comes back with the same body.
+        if previous is None or previous.body is not content.body:
+            self.drop(key)
+        else:
+            self.size -= entry_bytes(previous)
         self.entries[key] = content
+        self.entries.move_to_end(key)
+        if isinstance(content.body, stored_body.StoredBody):
+            content.body.is_cached = True
         self.size += entry_bytes(content)
-        self.shrink(self.limit if self.budget is None else min(self.limit, self.budget.room_for_cache()))
+        self.shrink(self.room())
+
+    def room(self) -> int:
+        """Return the bytes that all entries may take up now."""
+        return self.limit if self.budget is None else min(self.limit, self.budget.room_for_cache())
 
     def shrink(self, limit: int) -> None:
-        """Drop the least recently used objects until all entries take up at most `limit` bytes."""
-        while self.size > limit:
+        """Drop the least recently used objects, then fills, until all take up at most `limit` bytes."""
+        while self.size > limit and self.entries:
             self.drop(next(iter(self.entries)))
+        while self.size > limit and self.fills:
+            next(iter(self.fills)).drop()
 
     def drop(self, key: str) -> None:
         """Remove the object of a key from the cache, if it is there."""
         cached = self.entries.pop(key, None)
         if cached is not None:
             self.size -= entry_bytes(cached)
+            if isinstance(cached.body, stored_body.StoredBody):
+                cached.body.drop()
 
+    def fill(self, key: str, content: objects.CachedObject) -> body_source.BodySource:
+        """Return the body of an object that is passed on; once it is complete, the object is cached.
 
-def entry_bytes(content: objects.CachedObject) -> int:
-    """Return the size in bytes by which an object counts towards the cache's limit."""
-    return len(content.body) + ENTRY_OVERHEAD_BYTES
-
-
-class SharedFetch:
-    """A fetch in flight, with the number of requests that wait for its result."""
-
-    def __init__(self, task: asyncio.Task[typing.Any]) -> None:
-        self.task = task
-        self.waiters = 0
-
-
-class RequestCoalescer:
-    """Lets equal requests share one fetch, which is cancelled when the last waiting request is cancelled."""
+        Args:
+            key: The key of the object.
+            content: The object, whose body is a source.
+        """
+        source = content.body
+        assert not isinstance(source, (bytes, stored_body.StoredBody)), "only bodies that are passed on"
+        if source.length is None or source.length > FILL_FRACTION * self.room():
+            return source
 
-    def __init__(self) -> None:
-        self.in_flight: dict[typing.Hashable, SharedFetch] = {}
+        def on_complete(_: stored_body.CacheFill, pieces: list[bytes]) -> None:
+            self.put(key, content._replace(body=stored_body.StoredBody(pieces, self.budget)))
 
-    def is_in_flight(self, key: typing.Hashable) -> bool:
-        """Return whether a fetch with the given key is in flight."""
-        return key in self.in_flight
+        fill = stored_body.CacheFill(source.length, self._resize_fill, on_complete)
+        self.fills[fill] = None
+        return stored_body.FillingSource(source, fill)
 
-    async def join(
-        self,
-        key: typing.Hashable,
-        fetch: collections.abc.Callable[[], collections.abc.Coroutine[typing.Any, typing.Any, Result]],
-    ) -> Result:
-        """Return the result of the fetch with the given key, and start that fetch if none is in flight.
+    def _resize_fill(self, fill: stored_body.CacheFill, growth: int) -> None:
+        self.size += growth
+        if not fill.is_open:
+            self.fills.pop(fill, None)
+        elif growth > 0:
+            self.shrink(self.room())
 
-        Args:
-            key: The key of the fetch; requests that may share a result have equal keys.
-            fetch: Returns the coroutine that fetches.
 
-        Raises:
-            Exception: The fetch raised it.
-        """
-        if not self.is_in_flight(key):
-            task = asyncio.get_running_loop().create_task(fetch())
-            self.in_flight[key] = SharedFetch(task)
-            task.add_done_callback(lambda done: self.on_done(key, done))
-        shared = self.in_flight[key]
-        shared.waiters += 1
-        try:
-            result: Result = await asyncio.shield(shared.task)
-            return result
-        finally:
-            shared.waiters -= 1
-            # No request waits for the fetch any more, so it must not go on to load an origin.
-            if not shared.waiters and not shared.task.done():
-                shared.task.cancel()
-                self.forget(key, shared.task)
-
-    def on_done(self, key: typing.Hashable, task: asyncio.Task[typing.Any]) -> None:
-        """Forget a fetch that ended, and retrieve its exception: asyncio logs one that nobody retrieves."""
-        self.forget(key, task)
-        if not task.cancelled():
-            task.exception()
-
-    def forget(self, key: typing.Hashable, task: asyncio.Task[typing.Any]) -> None:
-        """Forget a fetch, unless a newer fetch is in flight under the same key."""
-        if key in self.in_flight and self.in_flight[key].task is task:
-            del self.in_flight[key]
+def entry_bytes(content: objects.CachedObject) -> int:
+    """Return the size in bytes by which an object counts towards the cache's limit."""
+    body = content.body
+    length = len(body) if isinstance(body, bytes) else body.length or 0
+    return length + ENTRY_OVERHEAD_BYTES
--- a/src/irisstand/dataplane/cache/object_holders.py
+++ b/src/irisstand/dataplane/cache/object_holders.py
@@ -6,30 +6,29 @@
 """
 
 import asyncio
+import collections
 import functools
-import typing
 
 from irisstand import drain_guard, errors, node_context
 from irisstand.balancing import rendezvous
-from irisstand.dataplane.cache import holder_messages, holder_read, object_reader, objects
+from irisstand.dataplane.cache import holder_messages, holder_read, object_lookup, objects
 from irisstand.dataplane.retry import events, holder_policy
 from irisstand.dataplane.routing import route_table, routes
-from irisstand.dataplane.upstream import endpoint_pool, upstream_request
+from irisstand.dataplane.upstream import endpoint_pool
 from irisstand.membership import updates
 from irisstand.state import versions
 
 # How long a holder is not asked after it failed to respond.
 AVOIDANCE_SECONDS = 2.0
-# How long a holder waits until its configuration is as new as the one by which the requesting node routed.
-CATCH_UP_TIMEOUT_SECONDS = 0.3
-CATCH_UP_INTERVAL_SECONDS = 0.01
+# How many large objects a node remembers.
+LARGE_KEYS_LIMIT = 1000
 HOLDER_ROLE = "holder"
 # The codes of the errors after which a holder is not asked for `AVOIDANCE_SECONDS`.
 AVOIDANCE_CODES = ("unreached", "unanswered", "draining")
 
 
 class ObjectHolders:
-    """Requests objects from holders, and serves the object requests that other nodes send to this one.
+    """Requests objects from holders.
 
     Args:
         context: The node's context.
@@ -47,12 +46,13 @@
         self.table = table
         self.origins = origins
         self.avoided = origins.avoided
-        self.reader: object_reader.ObjectReader | None = None
+        # Objects that their holder did not pass on because they are large, the oldest first.
+        self.large_keys: collections.OrderedDict[str, None] = collections.OrderedDict()
 
     # -- requesting ----------------------------------------------------------------------------------
     def choose(self, route: routes.Route, service: str, key: str) -> updates.Update | None:
         """Return the holder to request an object from; None if this node should fetch it from an origin."""
-        if not self.origins.fleet.uses_holders():
+        if not self.origins.fleet.uses_holders() or key in self.large_keys:
             return None
         if self.context.role != HOLDER_ROLE:
             return self.choose_at_site(route, key)
@@ -92,7 +92,7 @@
 
     async def fetch_from_holder(
         self,
-        lookup: object_reader.ObjectLookup,
+        lookup: object_lookup.ObjectLookup,
         minimum_version: versions.Version,
         remaining: float,
         cached: objects.CachedObject | None,
@@ -118,7 +118,9 @@
         holder = self.choose(lookup.route, lookup.service, lookup.key)
         if holder is None:
             return await fetch_from_origin(remaining)
-        call = self.call_holder(holder, self.request_for(lookup, minimum_version, remaining, cached), cached)
+        call = self.call_holder(
+            holder, lookup.key, self.request_for(lookup, minimum_version, remaining, cached), cached
+        )
         check_holder = functools.partial(self.check_overdue_holder, holder, asyncio.get_running_loop().time())
         read_policy: holder_read.Policy = holder_policy.HolderReadPolicy(
             self.context.clock, remaining, is_refusal_final=self.context.role != HOLDER_ROLE
@@ -130,7 +132,7 @@
 
     def request_for(
         self,
-        lookup: object_reader.ObjectLookup,
+        lookup: object_lookup.ObjectLookup,
         minimum_version: versions.Version,
         remaining: float,
         cached: objects.CachedObject | None,
@@ -144,7 +146,7 @@
             lookup.request.headers,
             remaining,
             minimum_version,
-            object_reader.etag_of(cached) or "",
+            object_lookup.etag_of(cached) or "",
             self.context.configuration.applied,
             self.context.role == HOLDER_ROLE,
         )
@@ -152,6 +154,7 @@
     async def call_holder(
         self,
         holder: updates.Update,
+        key: str,
         request: holder_messages.ObjectRequest,
         cached: objects.CachedObject | None,
     ) -> objects.CachedObject:
@@ -174,9 +177,17 @@
             self.context.counters.add("holder_failures", code=error.code)
             if error.code in AVOIDANCE_CODES:
                 self.pause_holder(name)
+            if isinstance(error, errors.ObjectTooLargeError):
+                self.note_large(key)
             raise
         return holder_messages.object_from_wire(body, sent_at, cached)
 
+    def note_large(self, key: str) -> None:
+        """Fetch a large object from origins from now on, without asking a holder first."""
+        self.large_keys[key] = None
+        if len(self.large_keys) > LARGE_KEYS_LIMIT:
+            self.large_keys.popitem(last=False)
+
     def pause_holder(self, name: str) -> None:
         """Stop requesting objects from a holder for `AVOIDANCE_SECONDS`."""
         self.avoided[name] = self.context.clock.now() + AVOIDANCE_SECONDS
@@ -190,60 +201,3 @@
             self.context.transport.retire(address)
         is_failed = name not in {member.identity.name for member in self.context.members_of(HOLDER_ROLE)}
         return events.HolderOverdue(is_silent, is_failed)
-
-    # -- serving ------------------------------------------------------------------------------------
-    def serve(self, reader: object_reader.ObjectReader) -> None:
-        """Start to serve other nodes' object requests, by reads through the given reader."""
-        self.reader = reader
-        self.context.transport.handlers[holder_messages.OBJECT_REQUEST_KIND] = self.on_object_request
-
-    async def on_object_request(self, _: str, body: list[typing.Any]) -> tuple[typing.Any, ...]:
-        """Answer an object request of another node.
-
-        Raises:
-            errors.DrainingError: This node is shutting down and takes no new requests.
-            errors.StaleConfigurationError: This node's configuration is too old or has another route.
-        """
-        received_at = self.context.clock.now()
-        message = holder_messages.ObjectRequest.from_wire(body)
-        if self.context.is_draining:
-            raise errors.DrainingError("this holder is shutting down")
-        await self.catch_up(message.configuration_version)
-        content = await typing.cast(object_reader.ObjectReader, self.reader).read(
-            self.lookup_for(message), message.minimum_version
-        )
-        # The requesting node adds the time since its request to the age, so this node must not add it too.
-        if message.cached_etag and content.ttl > 0 and object_reader.etag_of(content) == message.cached_etag:
-            return holder_messages.NotModified.from_object(content, received_at).to_wire()
-        return holder_messages.object_response(content, received_at)
-
-    def lookup_for(self, message: holder_messages.ObjectRequest) -> object_reader.ObjectLookup:
-        """Return the lookup for an object request, if this node's routes allow it.
-
-        Raises:
-            errors.StaleConfigurationError: This node has another route for the request, by which it could go
-                to an origin that the requesting node's route does not allow.
-        """
-        request = upstream_request.Request("GET", message.target, message.host, message.headers, b"")
-        route = self.table.match(request.host, request.path)
-        if route.name != message.route_name or not self.table.is_service_allowed(route, message.service):
-            raise errors.StaleConfigurationError("this holder's route is not that of the requesting node")
-        return object_reader.ObjectLookup(
-            route, str(message.service), request, message.max_wait, is_forwarded=message.is_from_holder
-        )
-
-    async def catch_up(self, applied: versions.Version) -> None:
-        """Wait until this node's configuration has at least the given version.
-
-        Raises:
-            errors.StaleConfigurationError: The version did not arrive in time, or a replica is not current.
-        """
-        started = self.context.clock.now()
-        while self.context.configuration.applied < applied:
-            if self.context.clock.now() - started > CATCH_UP_TIMEOUT_SECONDS:
-                raise errors.StaleConfigurationError(
-                    "this holder's configuration is older than that of the requesting node"
-                )
-            await asyncio.sleep(CATCH_UP_INTERVAL_SECONDS)
-        if not all(map(self.context.is_current, self.context.replicas.values())):
-            raise errors.StaleConfigurationError("this holder's tables are not known to be current")
--- a/src/irisstand/dataplane/cache/object_reader.py
+++ b/src/irisstand/dataplane/cache/object_reader.py
@@ -2,30 +2,19 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import functools
 import typing
 
 from irisstand import errors, node_context
-from irisstand.dataplane.cache import object_cache, objects
+from irisstand.dataplane.cache import object_cache, object_lookup, objects, request_coalescer, stored_body
 from irisstand.dataplane.http import header_names
 from irisstand.dataplane.retry import freshness_policy
-from irisstand.dataplane.routing import configuration_view, routes
-from irisstand.dataplane.upstream import client, exchange, upstream_request
-from irisstand.http1 import locations
+from irisstand.dataplane.routing import configuration_view
+from irisstand.dataplane.upstream import client, exchange, response_stream
+from irisstand.http1 import body_source
 from irisstand.state import versions
 
-# Client headers that are not sent to an origin: the complete object must be fetched, for all clients.
-CONDITIONAL_HEADERS = frozenset(
-    (
-        "range",
-        "if-range",
-        "if-none-match",
-        "if-modified-since",
-        "if-match",
-        "if-unmodified-since",
-        "accept-encoding",
-    )
-)
 # With less time than this before the deadline, an object that was purged in flight is not fetched again.
 MIN_REMAINING_SECONDS = 0.02
 MIN_TIMEOUT_SECONDS = 0.01
@@ -33,35 +22,6 @@
 STATUS_NOT_MODIFIED = 304
 
 
-class ObjectLookup(typing.NamedTuple):
-    """A read of one object.
-
-    Attributes:
-        route: The route of the request.
-        service: The service that was picked from the route.
-        request: The client's request.
-        remaining: Seconds until the client's deadline.
-        is_forwarded: Whether an object holder sent the read; then no other holder is asked, only an origin.
-    """
-
-    route: routes.Route
-    service: str
-    request: upstream_request.Request
-    remaining: float
-    is_forwarded: bool = False
-
-    @property
-    def key(self) -> str:
-        """The object's key in caches, and in the rendezvous hashing that chooses its holder."""
-        host = locations.normal_host(self.request.host)
-        return f"{self.service} {host}{self.request.target.decode('latin-1')}"
-
-    @property
-    def purge_path(self) -> str:
-        """The host and path by which the object can be purged."""
-        return locations.location(self.request.host, self.request.path)
-
-
 # Fetches an object without asking a holder; takes the timeout in seconds.
 FetchFromOrigin = collections.abc.Callable[
     [float], collections.abc.Coroutine[typing.Any, typing.Any, objects.CachedObject]
@@ -69,7 +29,7 @@
 # Fetches an object from its holder. Takes the lookup, the minimum ledger version, the seconds until the
 # deadline, the object in this node's cache, and the fetch to use where there is no holder or it failed.
 FetchFromHolder = collections.abc.Callable[
-    [ObjectLookup, versions.Version, float, objects.CachedObject | None, FetchFromOrigin],
+    [object_lookup.ObjectLookup, versions.Version, float, objects.CachedObject | None, FetchFromOrigin],
     collections.abc.Coroutine[typing.Any, typing.Any, objects.CachedObject],
 ]
 
@@ -97,10 +57,10 @@
         self.fetch_from_holder = fetch_from_holder
         self.header_names = origins.header_names
         self.cache = object_cache.ObjectCache(context.settings.cache_bytes, context.budget)
-        self.coalescer = object_cache.RequestCoalescer()
+        self.coalescer = request_coalescer.RequestCoalescer()
 
     async def read(
-        self, lookup: ObjectLookup, minimum_version: versions.Version = versions.NONE
+        self, lookup: object_lookup.ObjectLookup, minimum_version: versions.Version = versions.NONE
     ) -> objects.CachedObject:
         """Return an object that may be served now: neither expired nor purged.
 
@@ -126,7 +86,9 @@
                 fetched, lookup.purge_path, self.view, self.context.clock.now()
             )
             if fetched.ttl <= 0 or is_usable:
-                return fetched
+                return self.keep_while_read(lookup, fetched)
+            if isinstance(fetched.body, response_stream.ResponseStream):
+                fetched.body.close()
             # The object was purged or expired in flight, so it is fetched again within the same deadline.
             minimum = max(minimum, self.view.newest_purge(lookup.purge_path, fetched.tags))
             if deadline - self.context.clock.now() < MIN_REMAINING_SECONDS:
@@ -134,8 +96,16 @@
                     "every object fetched before the deadline had been purged or had expired when it arrived"
                 )
 
+    def keep_while_read(
+        self, lookup: object_lookup.ObjectLookup, fetched: objects.CachedObject
+    ) -> objects.CachedObject:
+        """Have a large object that may be cached kept while its client reads it."""
+        if fetched.ttl <= 0 or not isinstance(fetched.body, response_stream.ResponseStream):
+            return fetched
+        return fetched._replace(body=self.cache.fill(lookup.key, fetched))
+
     def usable_from_cache(
-        self, lookup: ObjectLookup, minimum_version: versions.Version
+        self, lookup: object_lookup.ObjectLookup, minimum_version: versions.Version
     ) -> objects.CachedObject | None:
         """Return the cached object if it is neither expired nor purged, else None."""
         cached = self.cache.get(lookup.key)
@@ -149,22 +119,24 @@
         return cached if is_usable else None
 
     async def fetch_shared(
-        self, lookup: ObjectLookup, minimum_version: versions.Version, remaining: float
+        self, lookup: object_lookup.ObjectLookup, minimum_version: versions.Version, remaining: float
     ) -> objects.CachedObject:
         """Fetch the object, or wait for an equal fetch that is in flight.
 
+        A large object is passed on to one of the requests that wait; the others fetch it for themselves.
+
         Raises:
             errors.DeadlineExceededError: The object did not arrive within `remaining` seconds.
         """
         deadline = self.context.clock.now() + remaining
-        key = (lookup.key, minimum_version, lookup.is_forwarded)
+        key: typing.Hashable = (lookup.key, minimum_version, lookup.is_forwarded)
         while True:
             seconds_left = deadline - self.context.clock.now()
             is_joined = self.coalescer.is_in_flight(key)
             fetch = functools.partial(self.fetch, lookup, minimum_version, seconds_left)
             try:
                 async with asyncio.timeout(max(MIN_TIMEOUT_SECONDS, seconds_left)):
-                    return await self.coalescer.join(key, fetch)
+                    fetched: objects.CachedObject = await self.coalescer.join(key, fetch)
             except TimeoutError:
                 raise errors.DeadlineExceededError(
                     "no origin sent a complete response before the deadline"
@@ -174,31 +146,37 @@
                 # time left, and then fetches again.
                 if not is_joined or deadline - self.context.clock.now() < MIN_REMAINING_SECONDS:
                     raise
+                continue
+            if is_taken(fetched.body):
+                # No other request shares the next fetch of this one.
+                key = (key, object())
+                continue
+            return fetched
 
     async def fetch(
-        self, lookup: ObjectLookup, minimum_version: versions.Version, remaining: float
+        self, lookup: object_lookup.ObjectLookup, minimum_version: versions.Version, remaining: float
     ) -> objects.CachedObject:
         """Fetch the object from its holder, or else from an origin, and cache it if it has a TTL."""
         cached = self.cache.get(lookup.key)
         fetch_from_origin = functools.partial(self.fetch_from_origin, lookup, minimum_version, cached)
-        with self.context.count_in_flight():
+        with self.context.count_in_flight(), keep(cached):
             fetched = await self.fetch_from_holder(
                 lookup, minimum_version, remaining, cached, fetch_from_origin
             )
-        if fetched.ttl > 0:
-            self.cache.put(lookup.key, fetched)
+            if fetched.ttl > 0 and isinstance(fetched.body, (bytes, stored_body.StoredBody)):
+                self.cache.put(lookup.key, fetched)
         return fetched
 
     async def fetch_from_origin(
         self,
-        lookup: ObjectLookup,
+        lookup: object_lookup.ObjectLookup,
         minimum_version: versions.Version,
         cached: objects.CachedObject | None,
         remaining: float,
     ) -> objects.CachedObject:
         """Fetch the object from an origin, or have the origin revalidate the cached one by its entity tag."""
-        cached_etag = etag_of(cached)
-        headers = headers_for_origin(lookup.request, cached_etag)
+        cached_etag = object_lookup.etag_of(cached)
+        headers = object_lookup.headers_for_origin(lookup.request, cached_etag)
         # The fetch begins now, so its object is newer than every purge that this node, or the node that sent
         # the read, knows of.
         applied = max(self.context.ledger.applied, minimum_version)
@@ -222,22 +200,21 @@
         return objects.CachedObject(answer.status, headers, answer.body, applied, 0.0, sent_at, ttl, tags)
 
 
-def headers_for_origin(request: upstream_request.Request, cached_etag: str | None) -> list[tuple[str, str]]:
-    """Return the request headers for fetching the complete object from an origin.
-
-    A cached object that is expired or purged may still be the origin's current version: if its entity tag is
-    given, the origin can revalidate it without sending the body.
-    """
-    headers = [
-        (name, value)
-        for name, value in upstream_request.end_to_end_headers(request.headers)
-        if name not in CONDITIONAL_HEADERS
-    ]
-    if cached_etag:
-        headers.append(("if-none-match", cached_etag))
-    return headers
-
-
-def etag_of(content: objects.CachedObject | None) -> str | None:
-    """Return the entity tag of an object; None if there is no object, or it has no tag."""
-    return None if content is None else dict(content.headers).get("etag")
+def is_taken(body: bytes | stored_body.StoredBody | body_source.BodySource) -> bool:
+    """Return whether a fetched body can't be used, as another request passes it on, or the cache freed it."""
+    if isinstance(body, response_stream.ResponseStream):
+        return not body.claim()
+    return isinstance(body, stored_body.StoredBody) and body.is_freed
+
+
+@contextlib.contextmanager
+def keep(cached: objects.CachedObject | None) -> collections.abc.Iterator[None]:
+    """Keep the body of a cached object while it is revalidated, even if the cache drops the object."""
+    if cached is None or not isinstance(cached.body, stored_body.StoredBody):
+        yield
+        return
+    reader = cached.body.open_reader()
+    try:
+        yield
+    finally:
+        reader.close()
--- a/src/irisstand/dataplane/cache/objects.py
+++ b/src/irisstand/dataplane/cache/objects.py
@@ -5,7 +5,8 @@
 import typing
 
 from irisstand import errors
-from irisstand.http1 import grammar
+from irisstand.dataplane.cache import stored_body
+from irisstand.http1 import body_source, grammar
 from irisstand.state import versions
 
 CACHEABLE_STATUSES = (200, 404)
@@ -30,7 +31,7 @@
     Attributes:
         status: The HTTP status.
         headers: Pairs of header name, in lower case, and value.
-        body: The complete body.
+        body: The complete body; that of a large object is passed on, or stored in pieces.
         applied: The applied version of the ledger when the fetch began; purges with a later version apply to
             the object.
         age: The object's age in seconds at the time `as_of`.
@@ -41,7 +42,7 @@
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: bytes | stored_body.StoredBody | body_source.BodySource
     applied: versions.Version
     age: float
     as_of: float
@@ -53,12 +54,23 @@
         return self.age + now - self.as_of
 
 
+def held_body(content: CachedObject) -> bytes:
+    """Return the body of an object that is held whole.
+
+    Raises:
+        TypeError: The object is large.
+    """
+    if not isinstance(content.body, bytes):
+        raise TypeError("the body of a large object is not held whole")
+    return content.body
+
+
 def to_wire(content: CachedObject, now: float) -> tuple[typing.Any, ...]:
     """Return the fields of an object in wire order; they have its age at `now`, and no `as_of`."""
     return (
         content.status,
         content.headers,
-        content.body,
+        held_body(content),
         tuple(content.applied),
         content.age_now(now),
         content.ttl,
--- a/src/irisstand/dataplane/http/listener.py
+++ b/src/irisstand/dataplane/http/listener.py
@@ -11,7 +11,7 @@
 from irisstand import drain_guard, errors, event_log, listening_sockets, node_context, node_settings
 from irisstand.dataplane.http import client_departures, closing_connections, messages, request_body
 from irisstand.dataplane.nodes import direct
-from irisstand.http1 import open_connections, request_head, strict_protocol
+from irisstand.http1 import open_connections, request_head, streamed_response, strict_protocol
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
 # Headers that sanic writes itself, so that they are not copied from an origin's response.
@@ -146,11 +146,13 @@
         # Sanic declares no types for its stream, which here is a `strict_protocol.StrictHttp`.
         head: request_head.RequestHead = typing.cast(typing.Any, request.stream).head
         limits = self.node.table.limits
-        body = await request_body.read(request.stream, limits.body_bytes, self.idle_seconds())
+        body_reader = request_body.RequestBodyReader(request.stream, limits.body_bytes, self.idle_seconds())
+        body = await body_reader.read()
         client_departures.resume_reading(request)
         node_request = direct.Request(request.method, request.raw_url, head.host, head.headers, body)
         with self.context.count_in_flight(), client_departures.count_departure(self.context.counters):
             response = await self.respond(node_request)
+        request_body.end_unread(request.stream, body, response)
         # A connection that stays open would bring more requests to a node that is shutting down.
         if self.context.is_lame_duck or self.context.is_draining:
             typing.cast(typing.Any, request.stream).keep_alive = False
@@ -184,7 +186,9 @@
             name: messages.header_text(value) for name, value in headers.items() if name not in SANIC_HEADERS
         }
         content_type = messages.header_text(headers.get("content-type", DEFAULT_CONTENT_TYPE))
-        return sanic.response.HTTPResponse(body, status, forwarded, content_type)
+        if isinstance(body, bytes):
+            return sanic.response.HTTPResponse(body, status, forwarded, content_type)
+        return streamed_response.StreamedResponse(body, status, forwarded, content_type)
 
     def check_admission(self) -> None:
         """Refuse a new request while the node drains, as it might not be complete when the drain ends.
--- a/src/irisstand/dataplane/http/request_body.py
+++ b/src/irisstand/dataplane/http/request_body.py
@@ -1,47 +1,114 @@
-"""Reads the body of a client's request."""
+"""Reads the body of a client's request: whole, or while it is passed on if it is large."""
 
 import asyncio
 import typing
 
 import sanic.exceptions
+import sanic.response
+
+from irisstand.dataplane.upstream import streamed_body
+from irisstand.http1 import body_source, streamed_response
 
 # The timeout for an idle client is at most this much longer. It is not extended at each piece: a great many
 # may have arrived at once, and each would leave a timer behind.
 TIMEOUT_RESOLUTION_SECONDS = 0.25
 
 
-async def read(stream: typing.Any, limit_bytes: int, idle_seconds: float) -> bytes:
-    """Read the complete body of a request.
+class RequestBodyReader:
+    """Reads the body of one request.
 
     Args:
         stream: Sanic's stream of the request, for which sanic declares no types.
         limit_bytes: The largest body.
         idle_seconds: How long the client may send nothing.
-
-    Raises:
-        sanic.exceptions.RequestTimeout: The client sent nothing for as long as a connection may be idle.
-        sanic.exceptions.PayloadTooLarge: The body is larger than the limit.
-        sanic.exceptions.ServiceUnavailable: This process has no memory left for the body.
     """
-    if not stream.request_body:
-        return b""
-    allowed_seconds = idle_seconds + TIMEOUT_RESOLUTION_SECONDS
-    body = bytearray()
-    loop = asyncio.get_running_loop()
-    extended_at = loop.time()
-    try:
-        async with asyncio.timeout(allowed_seconds) as idle_timeout:
-            while stream.request_body:
-                body += await stream.read() or b""
-                if len(body) > limit_bytes:
-                    raise sanic.exceptions.PayloadTooLarge("the request body is larger than the limit")
-                if loop.time() - extended_at > TIMEOUT_RESOLUTION_SECONDS:
-                    extended_at = loop.time()
-                    idle_timeout.reschedule(extended_at + allowed_seconds)
-    except TimeoutError:
+
+    def __init__(self, stream: typing.Any, limit_bytes: int, idle_seconds: float) -> None:
+        self.stream = stream
+        self.limit_bytes = limit_bytes
+        self.idle_seconds = idle_seconds
+        self.received = 0
+
+    async def read(self) -> bytes | streamed_body.StreamedBody:
+        """Return the complete body, or one that is passed on while it arrives if it is large.
+
+        Raises:
+            sanic.exceptions.RequestTimeout: The client sent nothing for as long as a connection may be idle.
+            sanic.exceptions.PayloadTooLarge: The body is larger than the limit.
+            sanic.exceptions.ServiceUnavailable: This process has no memory left for the body.
+        """
+        if not self.stream.request_body:
+            return b""
+        if self.stream.request_bytes > self.limit_bytes:
+            raise _too_large()
+        body = await self._read_beginning()
+        if not self.stream.request_body:
+            return body
+        self.stream.protocol.budget.pass_on_body()
+        # Sanic marks a chunked body with another value than True.
+        length = self.stream.request_bytes if self.stream.request_body is True else None
+        return streamed_body.StreamedBody(body, length, self._read_piece)
+
+    async def _read_beginning(self) -> bytes:
+        """Read up to the end of the body, or until it is too large to be held whole."""
+        allowed_seconds = self.idle_seconds + TIMEOUT_RESOLUTION_SECONDS
+        body = bytearray()
+        loop = asyncio.get_running_loop()
+        extended_at = loop.time()
+        try:
+            async with asyncio.timeout(allowed_seconds) as idle_timeout:
+                while self.stream.request_body and len(body) <= body_source.HELD_BODY_BYTES:
+                    body += await self._receive()
+                    if loop.time() - extended_at > TIMEOUT_RESOLUTION_SECONDS:
+                        extended_at = loop.time()
+                        idle_timeout.reschedule(extended_at + allowed_seconds)
+        except TimeoutError:
+            raise self._end_idle() from None
+        return bytes(body)
+
+    async def _read_piece(self) -> bytes:
+        """Return the next bytes of the body, or nothing at its end."""
+        piece = b""
+        try:
+            async with asyncio.timeout(self.idle_seconds + TIMEOUT_RESOLUTION_SECONDS):
+                while self.stream.request_body and not piece:
+                    piece = await self._receive()
+        except TimeoutError:
+            raise self._end_idle() from None
+        return piece
+
+    async def _receive(self) -> bytes:
+        piece = await self.stream.read() or b""
+        self.received += len(piece)
+        if self.received > self.limit_bytes:
+            raise _too_large()
+        return piece
+
+    def _end_idle(self) -> sanic.exceptions.RequestTimeout:
         # Otherwise sanic would wait for the rest of the body again before it closes the connection.
-        stream.request_body = None
-        raise sanic.exceptions.RequestTimeout(
+        self.stream.request_body = None
+        return sanic.exceptions.RequestTimeout(
             "the client stopped sending before the request body was complete"
-        ) from None
-    return bytes(body)
+        )
+
+
+def _too_large() -> sanic.exceptions.PayloadTooLarge:
+    return sanic.exceptions.PayloadTooLarge("the request body is larger than the limit")
+
+
+def end_unread(
+    stream: typing.Any, body: bytes | streamed_body.StreamedBody, response: sanic.response.HTTPResponse
+) -> None:
+    """Prepare for the response to a request whose body may not have been read whole.
+
+    Raises:
+        sanic.exceptions.BadRequest: The rest of the body was malformed.
+        sanic.exceptions.PayloadTooLarge: The body turned out to be larger than the limit.
+    """
+    if isinstance(body, bytes) or body.is_complete:
+        return
+    # What follows on the connection is not the next request.
+    stream.keep_alive = False
+    is_malformed = isinstance(body.error, (sanic.exceptions.BadRequest, sanic.exceptions.PayloadTooLarge))
+    if is_malformed and not isinstance(response, streamed_response.StreamedResponse):
+        raise typing.cast(Exception, body.error)
--- a/src/irisstand/dataplane/nodes/direct.py
+++ b/src/irisstand/dataplane/nodes/direct.py
@@ -3,10 +3,25 @@
 import typing
 
 from irisstand import node_context
-from irisstand.dataplane.cache import object_holders, object_reader, objects, ranges
+from irisstand.dataplane.cache import (
+    object_holders,
+    object_lookup,
+    object_reader,
+    object_server,
+    objects,
+    ranges,
+    stored_body,
+)
 from irisstand.dataplane.http import header_names
 from irisstand.dataplane.routing import configuration_view, route_table, routes
-from irisstand.dataplane.upstream import client, connector, endpoint_pool, exchange, upstream_request
+from irisstand.dataplane.upstream import (
+    client,
+    connector,
+    endpoint_pool,
+    exchange,
+    response_stream,
+    upstream_request,
+)
 from irisstand.http1 import grammar
 
 Request = upstream_request.Request
@@ -38,7 +53,7 @@
         self.origins = client.UpstreamClient(context, view, self.table, self.endpoints)
         self.holders = object_holders.ObjectHolders(context, self.table, self.endpoints)
         self.reader = object_reader.ObjectReader(context, view, self.origins, self.holders.fetch_from_holder)
-        self.holders.serve(self.reader)
+        self.object_server = object_server.ObjectServer(context, self.table, self.reader)
 
     async def run(self) -> None:
         """Probe unhealthy origin endpoints until cancelled."""
@@ -54,14 +69,17 @@
         route = self.table.match(request.host, request.path)
         self.context.counters.add("requests", route=route.name)
         remaining = self.remaining_seconds(request, route)
-        if route.is_cacheable and request.method == "GET":
+        if route.is_cacheable and request.method == "GET" and isinstance(request.body, bytes):
             service = routes.pick_service(route, request.target.decode("latin-1"))
-            lookup = object_reader.ObjectLookup(route, service, request, remaining)
+            lookup = object_lookup.ObjectLookup(route, service, request, remaining)
             return self.answer_from_object(request, await self.reader.read(lookup))
         service = routes.pick_service(route, request.headers.get(self.header_names.request_id, request.path))
         headers = upstream_request.end_to_end_headers(request.headers)
         with self.context.count_in_flight():
-            return await self.origins.fetch(route, service, request, headers, remaining)
+            answer = await self.origins.fetch(route, service, request, headers, remaining)
+        if isinstance(answer.body, response_stream.ResponseStream):
+            answer.body.claim()
+        return answer
 
     def remaining_seconds(self, request: Request, route: routes.Route) -> float:
         """Return the request's timeout: the route's, or the one in the client's header if that is shorter."""
@@ -79,7 +97,10 @@
         headers = dict(content.headers)
         if self.header_names.request_id in request.headers:
             headers[self.header_names.request_id] = request.headers[self.header_names.request_id]
-        complete = exchange.Answer(content.status, headers, content.body)
+        body = content.body
+        if isinstance(body, stored_body.StoredBody):
+            body = body.open_reader()
+        complete = exchange.Answer(content.status, headers, body)
         answer = ranges.apply(complete, request.headers) if content.status == STATUS_OK else complete
         if answer.status == ranges.RANGE_NOT_SATISFIABLE:
             # The 416 response is this node's own, so the origin's integrity header does not belong to it.
--- a/src/irisstand/dataplane/nodes/edge.py
+++ b/src/irisstand/dataplane/nodes/edge.py
@@ -9,7 +9,7 @@
 
 from irisstand import errors, node_context
 from irisstand.dataplane import messages
-from irisstand.dataplane.cache import object_cache, objects
+from irisstand.dataplane.cache import object_cache, objects, request_coalescer
 from irisstand.dataplane.nodes import shield_client
 from irisstand.dataplane.retry import actions, events, freshness_policy
 from irisstand.dataplane.routing import configuration_view
@@ -63,7 +63,7 @@
         self.context = context
         self.view = view
         self.cache = object_cache.ObjectCache(context.settings.cache_bytes, context.budget)
-        self.coalescer = object_cache.RequestCoalescer()
+        self.coalescer = request_coalescer.RequestCoalescer()
         self.shields = shield_client.ShieldClient(context, view)
 
     async def handle(self, request: Request) -> Result:
@@ -173,7 +173,10 @@
         self.view.check_current()
         self.view.authorize(request.method, request.path, request.query)
         return Result(
-            content.status, content.headers, content.body, content.age_now(self.context.clock.now())
+            content.status,
+            content.headers,
+            objects.held_body(content),
+            content.age_now(self.context.clock.now()),
         )
 
     async def write(self, allowed: configuration_view.AllowedRequest, request: Request) -> Result:
--- a/src/irisstand/dataplane/nodes/shield.py
+++ b/src/irisstand/dataplane/nodes/shield.py
@@ -12,7 +12,7 @@
 from irisstand import errors, node_context
 from irisstand.balancing import retry_budget as budgets
 from irisstand.dataplane import messages
-from irisstand.dataplane.cache import object_cache, objects
+from irisstand.dataplane.cache import object_cache, objects, request_coalescer
 from irisstand.dataplane.nodes import idempotency_keys, store_client
 from irisstand.dataplane.retry import (
     actions,
@@ -56,7 +56,7 @@
         self.context = context
         self.view = view
         self.cache = object_cache.ObjectCache(context.settings.cache_bytes, context.budget)
-        self.coalescer = object_cache.RequestCoalescer()
+        self.coalescer = request_coalescer.RequestCoalescer()
         self.stores = store_client.StoreClient(context, view)
         self.origins = origin_pool.OriginPool(context, view, open_connection)
         self.origin_client = origin_client.OriginClient(context, view, self.origins)
--- a/src/irisstand/dataplane/retry/policy.py
+++ b/src/irisstand/dataplane/retry/policy.py
@@ -39,11 +39,16 @@
     def __init__(self, clock: clocks.Clock, deadline: float) -> None:
         self.clock = clock
         self.deadline = deadline
+        self.allowed_seconds = deadline - clock.now()
 
     def remaining(self) -> float:
         """Return the seconds until the deadline."""
         return self.deadline - self.clock.now()
 
+    def restart_deadline(self) -> None:
+        """Let the time for the request begin anew, as more of its body has arrived."""
+        self.deadline = self.clock.now() + self.allowed_seconds
+
     def may_withdraw(self, may_have_sent: bool) -> bool:  # noqa: FBT001 - callers map it over several
         """Return whether an attempt may be aborted once no client waits for the request any more.
 
--- a/src/irisstand/dataplane/upstream/attempt_tasks.py
+++ b/src/irisstand/dataplane/upstream/attempt_tasks.py
@@ -28,6 +28,11 @@
         """Whether a byte of the request may have been sent to the origin."""
         ...
 
+    @property
+    def has_whole_request(self) -> bool:
+        """Whether nothing more of the request has to come from its client."""
+        ...
+
 
 class AttemptTasks:
     """The tasks of the attempts that a node has in flight."""
@@ -58,7 +63,8 @@
         """
         if task.done():
             return
-        if retry_policy.may_withdraw(attempt.may_have_sent):
+        # The rest of an incomplete request can't come any more, so that no origin can answer it.
+        if not attempt.has_whole_request or retry_policy.may_withdraw(attempt.may_have_sent):
             self.context.counters.add("attempts_withdrawn", service=attempt.service)
             task.cancel()
             return
--- a/src/irisstand/dataplane/upstream/attempts.py
+++ b/src/irisstand/dataplane/upstream/attempts.py
@@ -2,12 +2,20 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import dataclasses
+import functools
 
-from irisstand import errors, node_context
+from irisstand import errors, node_context, transfer_speed
 from irisstand.dataplane.http import header_names
 from irisstand.dataplane.retry import attempt_policy, events, forwarding_policy
-from irisstand.dataplane.upstream import exchange, origin_endpoint, upstream_request
+from irisstand.dataplane.upstream import (
+    exchange,
+    origin_endpoint,
+    response_stream,
+    streamed_body,
+    upstream_request,
+)
 
 MINIMUM_CONNECT_SECONDS = 0.01
 # How long an attempt that may be withdrawn goes on after the deadline of its request. An origin that is
@@ -40,6 +48,7 @@
         delay_seconds: How long to wait for a token of the rate limit before sending.
         check_again: Raises an IrisError if, after a wait, the endpoint may not be used any more.
         is_anonymous: Whether the client's request id is left out of the headers.
+        transfer_limit: How many large bodies may be passed on to and from the endpoint at a time.
         connection: The connection that carries the request; None until one is acquired.
     """
 
@@ -50,6 +59,7 @@
     delay_seconds: float
     check_again: collections.abc.Callable[[], None]
     is_anonymous: bool
+    transfer_limit: int
     connection: exchange.Exchange | None = None
 
     @property
@@ -62,6 +72,61 @@
         """Whether a byte of the request may have been sent to the origin."""
         return self.connection is not None and self.connection.may_have_sent
 
+    @property
+    def has_whole_request(self) -> bool:
+        """Whether nothing more of the request has to come from its client."""
+        body = self.request.body
+        return isinstance(body, bytes) or body.is_complete
+
+
+def end_attempt(attempt: Attempt, number: int) -> None:
+    """Record the end of an attempt, and return its connection."""
+    attempt.endpoint.finish(number)
+    if attempt.connection is not None:
+        attempt.endpoint.release(attempt.connection)
+
+
+class Upload:
+    """The large body of an attempt's request, while it is passed on to the origin (a `Transfer`).
+
+    Args:
+        sender: The sender of the attempt.
+        attempt: The attempt.
+        connection: The connection to the origin.
+        number: The number of the attempt at its endpoint.
+        time_limit: The timeout of the attempt.
+    """
+
+    def __init__(
+        self,
+        sender: "AttemptSender",
+        attempt: Attempt,
+        connection: exchange.Exchange,
+        number: int,
+        time_limit: asyncio.Timeout,
+    ) -> None:
+        self.sender = sender
+        self.attempt = attempt
+        self.connection = connection
+        self.number = number
+        self.time_limit = time_limit
+        self.speed = transfer_speed.TransferSpeed(sender.context.clock.now)
+
+    def on_progress(self, length: int) -> None:
+        """Let the time for the response begin anew, as it counts from the end of the request's body."""
+        self.speed.add(length)
+        self.attempt.retry_policy.restart_deadline()
+        timeout_seconds = self.sender.timeout_seconds(self.attempt)
+        with contextlib.suppress(RuntimeError):
+            # The timeout has expired, or the attempt has ended.
+            self.time_limit.reschedule(asyncio.get_running_loop().time() + timeout_seconds)
+        if self.attempt.has_whole_request:
+            self.attempt.endpoint.await_response(self.number)
+
+    def evict(self) -> None:
+        """Reset the connection to the origin, to make room for others."""
+        self.connection.abort()
+
 
 class AttemptSender:
     """Sends attempts to origin endpoints and reports their results as events of the retry policy."""
@@ -74,7 +139,7 @@
         """Send one attempt after its delay, and return its result."""
         endpoint = attempt.endpoint
         number = endpoint.begin()
-        is_answered = False
+        is_passing_on = False
         try:
             if attempt.delay_seconds:
                 await asyncio.sleep(attempt.delay_seconds)
@@ -88,9 +153,10 @@
             # A new connection took time to open, and the configuration may have changed meanwhile.
             if not attempt.connection.is_used:
                 attempt.check_again()
-            answer = await self.send(attempt.connection, attempt, request_id)
-            is_answered = True
-            return self.classify(endpoint, answer, request_id)
+            answer = await self.send(attempt.connection, attempt, number, request_id)
+            result = self.classify(endpoint, answer, request_id)
+            endpoint.note_answered(number)
+            is_passing_on = self.begin_passing_on(attempt, number, answer, result)
         except (OSError, TimeoutError, ValueError, errors.IrisError) as error:
             may_have_sent = attempt.may_have_sent
             self.context.counters.add("origin_failures", service=attempt.service, touched=str(may_have_sent))
@@ -100,12 +166,29 @@
             if attempt.may_have_sent:
                 endpoint.note_unanswered(number)
             raise
+        else:
+            return result
         finally:
-            endpoint.finish(number, is_answered=is_answered)
-            if attempt.connection is not None:
-                endpoint.release(attempt.connection)
-
-    async def send(self, connection: exchange.Exchange, attempt: Attempt, request_id: str) -> exchange.Answer:
+            if not is_passing_on:
+                end_attempt(attempt, number)
+
+    def begin_passing_on(
+        self, attempt: Attempt, number: int, answer: exchange.Answer, result: Result
+    ) -> bool:
+        """Keep the attempt's connection for a response that is still arriving; return whether it is."""
+        stream = answer.body
+        if not isinstance(stream, response_stream.ResponseStream):
+            return False
+        if stream.has_ended or not isinstance(result, events.ResponseReceived):
+            stream.close()
+            return False
+        stream.on_end = functools.partial(end_attempt, attempt, number)
+        attempt.endpoint.begin_transfer(number, stream, attempt.transfer_limit)
+        return True
+
+    async def send(
+        self, connection: exchange.Exchange, attempt: Attempt, number: int, request_id: str
+    ) -> exchange.Answer:
         """Send the request over a connection and return the response, whatever its status."""
         request, names = attempt.request, self.header_names
         remaining_ms = max(1, int(attempt.retry_policy.remaining() * 1000))
@@ -120,7 +203,11 @@
             (names.expected_instance, attempt.endpoint.instance),
         ]
         # The retry policy enforces the request's deadline; this timeout bounds an attempt that outlasts it.
-        async with asyncio.timeout(self.timeout_seconds(attempt)):
+        async with asyncio.timeout(self.timeout_seconds(attempt)) as time_limit:
+            if isinstance(request.body, streamed_body.StreamedBody):
+                upload = Upload(self, attempt, connection, number, time_limit)
+                request.body.on_progress = upload.on_progress
+                attempt.endpoint.begin_transfer(number, upload, attempt.transfer_limit)
             return await connection.send(request.method, request.target, headers, request.body, request_id)
 
     def timeout_seconds(self, attempt: Attempt) -> float:
--- /dev/null
+++ b/src/irisstand/dataplane/upstream/call_state.py
@@ -0,0 +1,79 @@
+"""The state of a request while it is sent to origins."""
+
+import asyncio
+import typing
+
+from irisstand import drain_guard
+from irisstand.dataplane.retry import attempt_policy, events
+from irisstand.dataplane.routing import routes
+from irisstand.dataplane.upstream import attempts, exchange, origin_endpoint, upstream_request
+
+# The fraction of a route's target response time that a request may wait for tokens of a rate limit.
+RATE_WAIT_TARGET_FACTOR = 0.4
+# The fraction of a request's remaining time that it may wait for tokens of a rate limit.
+RATE_WAIT_REMAINING_FACTOR = 0.25
+
+AttemptTask = asyncio.Task[attempts.Result]
+
+
+class Call:
+    """A request that is being processed, with its retry policy and its attempts in flight."""
+
+    def __init__(
+        self,
+        route: routes.Route,
+        service: str,
+        request: upstream_request.Request,
+        headers: upstream_request.Headers,
+        retry_policy: attempt_policy.AttemptPolicy[exchange.Answer],
+    ) -> None:
+        self.route = route
+        self.service = service
+        self.request = request
+        self.headers = headers
+        self.retry_policy = retry_policy
+        self.running: dict[AttemptTask, attempts.Attempt] = {}
+
+    def drop_attempts(self) -> None:
+        """Forget the attempts in flight, whose responses nobody waits for any more."""
+        for task in self.running:
+            task.add_done_callback(close_unused_response)
+        # Attempts refer to this call: as long as it refers to them, too, only the garbage collector would
+        # free their responses.
+        self.running.clear()
+
+    def rate_wait_seconds(self) -> float:
+        """Return the seconds that the request may wait for a token of a rate limit from now on."""
+        by_target = RATE_WAIT_TARGET_FACTOR * self.route.target
+        return min(by_target, RATE_WAIT_REMAINING_FACTOR * self.retry_policy.remaining())
+
+    def work_state(self) -> drain_guard.WorkState:
+        """Return how far the request is, which decides what the drain guard may answer in its place.
+
+        A request with an attempt that has ended counts as finished: the result only has to be read.
+        """
+        if any(task.done() for task in self.running):
+            return drain_guard.WorkState.FINISHED
+        sent = [attempt.may_have_sent for attempt in self.running.values()]
+        if not any(sent):
+            return drain_guard.WorkState.UNSENT
+        if all(map(self.retry_policy.may_withdraw, sent)):
+            return drain_guard.WorkState.WITHDRAWABLE
+        return drain_guard.WorkState.BEGUN
+
+
+def close_unused_response(task: AttemptTask) -> None:
+    """Give up the response of an attempt that has ended if it is still arriving."""
+    if task.cancelled() or task.exception() is not None:
+        return
+    result = task.result()
+    if isinstance(result, events.ResponseReceived) and not isinstance(result.response.body, bytes):
+        result.response.body.close()
+
+
+class Choice(typing.NamedTuple):
+    """The endpoint for an attempt, and the seconds that the attempt waits under the service's rate limit."""
+
+    endpoint: origin_endpoint.Endpoint
+    upstream: routes.Upstream
+    delay_seconds: float
--- a/src/irisstand/dataplane/upstream/client.py
+++ b/src/irisstand/dataplane/upstream/client.py
@@ -6,9 +6,8 @@
 
 import asyncio
 import functools
-import typing
 
-from irisstand import drain_guard, errors, node_context
+from irisstand import errors, node_context
 from irisstand.balancing import retry_budget as budgets
 from irisstand.dataplane.retry import (
     actions,
@@ -22,69 +21,20 @@
 from irisstand.dataplane.upstream import (
     attempt_tasks,
     attempts,
+    call_state,
     endpoint_pool,
     exchange,
     origin_endpoint,
     upstream_request,
 )
 
-# The fraction of a route's target response time that a request may wait for tokens of a rate limit.
-RATE_WAIT_TARGET_FACTOR = 0.4
-# The fraction of a request's remaining time that it may wait for tokens of a rate limit.
-RATE_WAIT_REMAINING_FACTOR = 0.25
 # The fraction of a service's retries that all edges together may use.
 EDGES_RETRY_SHARE = 0.8
 
 
-AttemptTask = asyncio.Task[attempts.Result]
 Event = attempt_policy.AttemptEvent[exchange.Answer]
 
 
-class Call:
-    """A request that is being processed, with its retry policy and its attempts in flight."""
-
-    def __init__(
-        self,
-        route: routes.Route,
-        service: str,
-        request: upstream_request.Request,
-        headers: upstream_request.Headers,
-        retry_policy: attempt_policy.AttemptPolicy[exchange.Answer],
-    ) -> None:
-        self.route = route
-        self.service = service
-        self.request = request
-        self.headers = headers
-        self.retry_policy = retry_policy
-        self.running: dict[AttemptTask, attempts.Attempt] = {}
-
-    def rate_wait_seconds(self) -> float:
-        """Return the seconds that the request may wait for a token of a rate limit from now on."""
-        by_target = RATE_WAIT_TARGET_FACTOR * self.route.target
-        return min(by_target, RATE_WAIT_REMAINING_FACTOR * self.retry_policy.remaining())
-
-    def work_state(self) -> drain_guard.WorkState:
-        """Return how far the request is, which decides what the drain guard may answer in its place.
-
-        A request with an attempt that has ended counts as finished: the result only has to be read.
-        """
-        if any(task.done() for task in self.running):
-            return drain_guard.WorkState.FINISHED
-        sent = [attempt.may_have_sent for attempt in self.running.values()]
-        if not any(sent):
-            return drain_guard.WorkState.UNSENT
-        if all(map(self.retry_policy.may_withdraw, sent)):
-            return drain_guard.WorkState.WITHDRAWABLE
-        return drain_guard.WorkState.BEGUN
-
-
-class Choice(typing.NamedTuple):
-    """The endpoint for an attempt, and the seconds that the attempt waits under the service's rate limit."""
-
-    endpoint: origin_endpoint.Endpoint
-    delay_seconds: float
-
-
 class UpstreamClient:
     """Sends requests to origin endpoints and returns the origins' responses."""
 
@@ -127,7 +77,10 @@
         Raises:
             IrisError: The retry policy rejected the request.
         """
-        call = Call(route, service, request, headers, self.policy_for(route, service, remaining))
+        if not isinstance(request.body, bytes):
+            # Its body can be read only once.
+            route = route._replace(attempts=1)
+        call = call_state.Call(route, service, request, headers, self.policy_for(route, service, remaining))
         with self.context.drain_guard.fail_at_end(call.work_state):
             decision = await self.decide(call)
         if isinstance(decision, actions.Reject):
@@ -135,7 +88,7 @@
             raise decision.error
         return decision.response
 
-    async def decide(self, call: Call) -> actions.Respond[exchange.Answer] | actions.Reject:
+    async def decide(self, call: call_state.Call) -> actions.Respond[exchange.Answer] | actions.Reject:
         """Perform the actions of the request's retry policy until it responds or rejects."""
         try:
             return await policy.execute(call.retry_policy, functools.partial(self.perform, call))
@@ -145,9 +98,7 @@
                 self.attempts.give_up(task, attempt, call.retry_policy)
             raise
         finally:
-            # Attempts refer to their call: as long as it refers to them, too, only the garbage collector
-            # would free their responses.
-            call.running.clear()
+            call.drop_attempts()
 
     def policy_for(
         self, route: routes.Route, service: str, remaining: float
@@ -158,7 +109,7 @@
             return idempotent_attempt_policy.IdempotentAttemptPolicy(clock, route, remaining, budget)
         return single_attempt_policy.SingleAttemptPolicy(clock, route, remaining, budget)
 
-    async def perform(self, call: Call, action: attempt_policy.AttemptAction) -> Event:
+    async def perform(self, call: call_state.Call, action: attempt_policy.AttemptAction) -> Event:
         """Perform one action of a retry policy and return the resulting event."""
         match action:
             case actions.SendAttempt():
@@ -166,7 +117,7 @@
             case actions.Wait():
                 return await self.wait(call.running, action.seconds)
 
-    async def send(self, call: Call) -> Event:
+    async def send(self, call: call_state.Call) -> Event:
         """Start an attempt; the first attempt of a request may wait for tokens of a rate limit."""
         if not call.running:
             await self.endpoints.borrow_token(call.service, call.rate_wait_seconds())
@@ -177,7 +128,7 @@
             event = self.begin(call)
         return event
 
-    async def wait(self, running: dict[AttemptTask, attempts.Attempt], seconds: float) -> Event:
+    async def wait(self, running: dict[call_state.AttemptTask, attempts.Attempt], seconds: float) -> Event:
         """Wait at most `seconds` for one of the attempts to end, and return its result."""
         done, _ = await asyncio.wait(running, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
         if not done:
@@ -186,10 +137,10 @@
         running.pop(task)
         return task.result()
 
-    def begin(self, call: Call) -> Event:
+    def begin(self, call: call_state.Call) -> Event:
         """Choose an endpoint and start an attempt there in a new task."""
         try:
-            endpoint, delay = self.choose(call)
+            endpoint, upstream, delay = self.choose(call)
         except errors.IrisError as error:
             return events.NoEndpoint(error)
         is_cold = endpoint.is_cold()
@@ -208,11 +159,12 @@
             delay,
             check_again,
             is_anonymous=is_anonymous,
+            transfer_limit=self.endpoints.selector.transfer_limit(endpoint, upstream),
         )
         call.running[self.attempts.start(self.sender.run(attempt))] = attempt
         return events.AttemptSent(endpoint.instance, endpoint.usual_seconds)
 
-    def choose(self, call: Call) -> Choice:
+    def choose(self, call: call_state.Call) -> call_state.Choice:
         """Return an endpoint for a further attempt of the request.
 
         Raises:
@@ -220,9 +172,11 @@
         """
         upstream = self.allowed_upstream(call)
         endpoint = self.endpoints.choose(call.route, upstream, call.retry_policy.tried)
-        return Choice(endpoint, self.endpoints.take_token(upstream, call.rate_wait_seconds()))
+        return call_state.Choice(
+            endpoint, upstream, self.endpoints.take_token(upstream, call.rate_wait_seconds())
+        )
 
-    def allowed_upstream(self, call: Call) -> routes.Upstream:
+    def allowed_upstream(self, call: call_state.Call) -> routes.Upstream:
         """Return the upstream service of a request if its route still allows it.
 
         The configuration may have changed since the request's route was looked up.
@@ -238,7 +192,9 @@
             )
         return upstream
 
-    def check_again(self, call: Call, endpoint: origin_endpoint.Endpoint, *, was_cold: bool) -> None:
+    def check_again(
+        self, call: call_state.Call, endpoint: origin_endpoint.Endpoint, *, was_cold: bool
+    ) -> None:
         """Check after a wait for a token that the endpoint chosen before it may still be used.
 
         Raises:
--- a/src/irisstand/dataplane/upstream/endpoint_selection.py
+++ b/src/irisstand/dataplane/upstream/endpoint_selection.py
@@ -15,6 +15,8 @@
 # information don't all choose the same endpoint.
 LEAST_JITTER_FACTOR = 0.8
 GREATEST_JITTER_FACTOR = 1.25
+# Clients decide how long the transfer of a large body takes, so the rest is left to other requests.
+TRANSFERS_FRACTION = 0.5
 
 
 def cold_limit_name(endpoint: origin_endpoint.Endpoint) -> str:
@@ -70,7 +72,7 @@
         free = [
             endpoint
             for endpoint in up
-            if len(endpoint.in_flight) < self.connection_limit(endpoint, upstream)
+            if endpoint.connections_in_use() < self.connection_limit(endpoint, upstream)
             and now >= endpoint.paused_until
         ]
         if not free:
@@ -146,6 +148,10 @@
             )
         return self.limits[key]
 
+    def transfer_limit(self, endpoint: origin_endpoint.Endpoint, upstream: routes.Upstream) -> int:
+        """Return the number of connections to the endpoint that large bodies may keep in use."""
+        return max(1, int(TRANSFERS_FRACTION * self.connection_limit(endpoint, upstream)))
+
     def cost(self, endpoint: origin_endpoint.Endpoint) -> float:
         """Return a rough estimate of the seconds until a response.
 
@@ -158,7 +164,7 @@
         if self.fleet.region_of(site) != (self.fleet.region_of(settings.site) or settings.region):
             travel_seconds = OTHER_REGION_SECONDS
         slots = max(1, endpoint.origin.slots)
-        queued = max(0, len(endpoint.in_flight) + 1 - slots) / slots
-        busy = len(endpoint.in_flight) / slots
+        queued = max(0, endpoint.connections_in_use() + 1 - slots) / slots
+        busy = endpoint.connections_in_use() / slots
         jitter = self.context.randomness.uniform(LEAST_JITTER_FACTOR, GREATEST_JITTER_FACTOR)
         return endpoint.expected_seconds() * (1 + queued + busy) * jitter + travel_seconds
--- a/src/irisstand/dataplane/upstream/origin_client.py
+++ b/src/irisstand/dataplane/upstream/origin_client.py
@@ -80,6 +80,11 @@
         """Whether a byte of the request may have been sent to the origin."""
         return self.connection is not None and self.connection.may_have_sent
 
+    @property
+    def has_whole_request(self) -> bool:
+        """Whether nothing more of the request has to come from its client; shields get whole requests."""
+        return True
+
     def hold(self, slot: Slot) -> None:
         """Store the slot that the attempt holds."""
         self.slot = slot
--- a/src/irisstand/dataplane/upstream/origin_endpoint.py
+++ b/src/irisstand/dataplane/upstream/origin_endpoint.py
@@ -4,7 +4,7 @@
 
 from irisstand import errors, event_log, node_context
 from irisstand.dataplane.routing import configuration_view
-from irisstand.dataplane.upstream import connector, exchange
+from irisstand.dataplane.upstream import connector, exchange, transfers
 
 CONNECT_TIMEOUT_SECONDS = 0.4
 # How long an endpoint that could not be reached waits for its next probe; doubled with each failure.
@@ -37,6 +37,7 @@
         self.idle: list[exchange.Exchange] = []
         # The start time of each attempt in flight, by the attempt's number.
         self.in_flight: dict[int, float] = {}
+        self.transfers = transfers.Transfers()
         self.number = 0
         self.usual_seconds = INITIAL_RESPONSE_SECONDS
         self.answered_at = context.clock.now()
@@ -63,19 +64,51 @@
         self.in_flight[self.number] = self.context.clock.now()
         return self.number
 
-    def finish(self, number: int, *, is_answered: bool) -> None:
-        """Record the end of an attempt; a response updates the average response time and the health."""
-        elapsed = self.context.clock.now() - self.in_flight.pop(number)
-        if is_answered:
+    def finish(self, number: int) -> None:
+        """Record the end of an attempt."""
+        self.in_flight.pop(number, None)
+        self.transfers.remove(number)
+
+    def begin_transfer(self, number: int, transfer: transfers.Transfer, limit: int) -> None:
+        """Record that an attempt passes on a large body, so that its time says nothing about the origin.
+
+        Args:
+            number: The number of the attempt.
+            transfer: The body that is passed on.
+            limit: The number of transfers above which the slowest one is evicted.
+        """
+        self.in_flight.pop(number, None)
+        self.transfers.add(number, transfer, limit)
+
+    def end_transfer(self, number: int) -> None:
+        """Record that a large body has been passed on, or was given up."""
+        self.transfers.remove(number)
+
+    def await_response(self, number: int) -> None:
+        """Record that the large body of an attempt's request is complete: its response time begins now."""
+        if number in self.transfers.by_number:
+            self.transfers.remove(number)
+            self.in_flight[number] = self.context.clock.now()
+
+    def note_answered(self, number: int) -> None:
+        """Update the average response time and the health after a response to an attempt in flight."""
+        if number in self.in_flight:
+            elapsed = self.context.clock.now() - self.in_flight[number]
             self.usual_seconds += NEWEST_SAMPLE_WEIGHT * (elapsed - self.usual_seconds)
-            self.answered_at = self.context.clock.now()
-            self.mark_up()
+        self.answered_at = self.context.clock.now()
+        self.mark_up()
+
+    def connections_in_use(self) -> int:
+        """Return the number of requests and transfers that each have a connection to the origin."""
+        return len(self.in_flight) + len(self.transfers)
 
     def note_unanswered(self, number: int) -> None:
         """Raise the average response time after an attempt that is withdrawn without a response.
 
         The response would have taken even longer than the attempt has waited.
         """
+        if number not in self.in_flight:
+            return
         waited = self.context.clock.now() - self.in_flight[number]
         if waited > self.usual_seconds:
             self.usual_seconds += NEWEST_SAMPLE_WEIGHT * (waited - self.usual_seconds)
--- a/src/irisstand/dataplane/upstream/response_budget.py
+++ b/src/irisstand/dataplane/upstream/response_budget.py
@@ -1,8 +1,7 @@
 """What a response of an origin holds of the budget of the process while it is being received."""
 
-import asyncio
-
 from irisstand import resource_budget
+from irisstand.dataplane.upstream import response_stream
 
 # The allocator gives a body that grows an eighth more than its length.
 GROWTH_RESERVE_DIVISOR = 8
@@ -13,12 +12,15 @@
 
     Args:
         budget: The budget of the process; None if the response does not count.
+        connection: The connection to the origin.
     """
 
-    def __init__(self, budget: resource_budget.ResourceBudget | None) -> None:
+    def __init__(
+        self, budget: resource_budget.ResourceBudget | None, connection: response_stream.OriginConnection
+    ) -> None:
         self.budget = budget
+        self.connection = connection
         self.holding = None if budget is None else budget.open()
-        self.transport: asyncio.Transport | None = None
         self.is_waiting = False
 
     def hold(self, size: int, received: int) -> None:
@@ -42,14 +44,12 @@
         self.holding.set(max(self.holding.size, received))
         if not self.is_waiting:
             self.is_waiting = True
-            assert self.transport is not None, "a response arrives on an open connection"
-            self.transport.pause_reading()
+            self.connection.pause_reading()
 
     def resume_reading(self) -> None:
         """Read on, now that there is room for the body."""
         self.is_waiting = False
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.resume_reading()
+        self.connection.resume_reading()
 
     def hand_over(self, body: bytes) -> None:
         """Count the complete body until the connection that it is sent on counts it."""
--- /dev/null
+++ b/src/irisstand/dataplane/upstream/response_stream.py
@@ -0,0 +1,155 @@
+"""The body of a large response that is passed on while it arrives, of which only a window is held."""
+
+import asyncio
+import collections.abc
+import typing
+
+from irisstand import errors, resource_budget, transfer_speed
+from irisstand.http1 import body_source
+
+# Reading from the origin stops while this much has arrived that the client has not taken.
+WINDOW_BYTES = 128 * 1024
+# Reading goes on once no more than this is left.
+RESUME_BYTES = 32 * 1024
+# What a stream holds at most: the window, and what one read from the socket can add to it.
+STREAM_BYTES = 3 * WINDOW_BYTES
+# The largest response, whatever length it announces.
+BODY_LIMIT_BYTES = 64 * 1024 * 1024
+# A stream that nobody begins to read for this long is given up, like the slower one of two hedged attempts.
+CLAIM_SECONDS = 5.0
+
+
+class OriginConnection(typing.Protocol):
+    """The connection to the origin, as a stream controls it."""
+
+    def pause_reading(self) -> None:
+        """Stop reading from the origin."""
+        ...
+
+    def resume_reading(self) -> None:
+        """Read on from the origin."""
+        ...
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        ...
+
+
+class ResponseStream:
+    """A response body between its origin and the one client that it is passed on to (a `BodySource`).
+
+    Args:
+        length: The announced length in bytes; None for a chunked body.
+        connection: The connection to the origin.
+        budget: The budget in which the window counts; None if it does not count.
+
+    Attributes:
+        on_end: Called once, when nothing more is read from the origin for this body.
+        speed: How fast the client takes the body.
+    """
+
+    def __init__(
+        self,
+        length: int | None,
+        connection: OriginConnection,
+        budget: resource_budget.ResourceBudget | None,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self.length = length
+        self.retained_bytes = STREAM_BYTES
+        self.connection = connection
+        self.holding = None if budget is None else budget.open()
+        if self.holding is not None:
+            self.holding.set(STREAM_BYTES)
+        self.speed = transfer_speed.TransferSpeed(loop.time)
+        self.buffer = bytearray()
+        self.received = 0
+        self.arrived = asyncio.Event()
+        self.has_ended = False
+        self.error: errors.IrisError | None = None
+        self.on_end: collections.abc.Callable[[], None] | None = None
+        self.claim_timer: asyncio.TimerHandle | None = loop.call_later(CLAIM_SECONDS, self.close)
+
+    # -- from the origin -----------------------------------------------------------------------------
+    def feed(self, data: bytes) -> None:
+        """Add bytes that have arrived.
+
+        Raises:
+            ValueError: The body is over the size limit.
+        """
+        if self.has_ended:
+            return
+        self.received += len(data)
+        if self.received > BODY_LIMIT_BYTES:
+            raise ValueError("the response body is over the size limit")
+        self.buffer += data
+        self.arrived.set()
+        if len(self.buffer) >= WINDOW_BYTES:
+            self.connection.pause_reading()
+
+    def finish(self) -> None:
+        """Note that the body is complete."""
+        self._end(None)
+
+    def fail(self, error: errors.IrisError) -> None:
+        """Note that the rest of the body will not come; does nothing if the body is complete."""
+        self._end(error)
+
+    # -- to the client -------------------------------------------------------------------------------
+    def claim(self) -> bool:
+        """Take the stream in order to read it; return whether nobody else has taken it."""
+        if self.claim_timer is None:
+            return False
+        self.claim_timer.cancel()
+        self.claim_timer = None
+        return True
+
+    async def read(self) -> bytes:
+        """Return the next piece, or nothing at the end of the body.
+
+        Raises:
+            errors.OriginFailedError: The origin ended the response early, or it was given up here.
+        """
+        while not self.buffer:
+            if self.error is not None:
+                raise self.error
+            if self.has_ended:
+                return b""
+            self.arrived.clear()
+            await self.arrived.wait()
+        piece = bytes(self.buffer[: body_source.PIECE_BYTES])
+        del self.buffer[: len(piece)]
+        self.speed.add(len(piece))
+        if len(self.buffer) <= RESUME_BYTES and not self.has_ended:
+            self.connection.resume_reading()
+        return piece
+
+    def evict(self) -> None:
+        """Give up the rest of the body to make room for others; the reader gets an error."""
+        self._give_up("the response made room for others")
+
+    def close(self) -> None:
+        """Give up what was not read; resets the connection to the origin unless the body is complete."""
+        self.claim()
+        self._give_up("the response was not read")
+        self.buffer = bytearray()
+        if self.holding is not None:
+            self.holding.close()
+
+    def _give_up(self, why: str) -> None:
+        if not self.has_ended:
+            self.error = errors.OriginFailedError(why)
+            # The connection is closed when it is released by the end of the stream.
+            self.connection.abort()
+            self._end(None)
+
+    def _end(self, error: errors.IrisError | None) -> None:
+        if self.has_ended:
+            return
+        self.has_ended = True
+        self.error = self.error or error
+        self.arrived.set()
+        if self.on_end is not None:
+            self.on_end()
+            # It refers to the attempt, which refers to this stream.
+            self.on_end = None
--- a/src/irisstand/dataplane/upstream/upstream_request.py
+++ b/src/irisstand/dataplane/upstream/upstream_request.py
@@ -4,6 +4,7 @@
 import typing
 
 from irisstand import errors
+from irisstand.dataplane.upstream import streamed_body
 from irisstand.http1 import grammar
 
 # Headers that concern a single connection and are not forwarded (RFC 9110, section 7.6.1). All other headers
@@ -35,14 +36,14 @@
         target: The path and query, byte by byte as the client sent them.
         host: The host that the client named.
         headers: The headers by their names in lower case.
-        body: The complete body.
+        body: The complete body, or a large one that is still arriving and can be sent once.
     """
 
     method: str
     target: bytes
     host: str
     headers: dict[str, str]
-    body: bytes
+    body: bytes | streamed_body.StreamedBody
 
     @property
     def path(self) -> str:
@@ -60,10 +61,15 @@
     return [(name, value) for name, value in headers.items() if name not in HOP_BY_HOP and name not in listed]
 
 
+def body_length(body: bytes | streamed_body.StreamedBody) -> int | None:
+    """Return the length of a request's body in bytes; None if it is not known before the end."""
+    return len(body) if isinstance(body, bytes) else body.length
+
+
 def encode_head(
-    method: str, target: bytes, headers: collections.abc.Iterable[tuple[str, str]], body_bytes: int
+    method: str, target: bytes, headers: collections.abc.Iterable[tuple[str, str]], body_bytes: int | None
 ) -> bytes:
-    """Return the head of an HTTP/1.1 request whose body has a length in bytes.
+    """Return the head of an HTTP/1.1 request whose body has a length in bytes, or is chunked if that is None.
 
     Raises:
         errors.BadRequestError: The head would violate the grammar of HTTP/1.1, so that an origin could read
@@ -72,7 +78,9 @@
     lines = [method.encode(), b" ", target, b" HTTP/1.1"]
     for name, value in headers:
         lines += [b"\r\n", _encode_text(name), b": ", _encode_text(value)]
-    if body_bytes or method in METHODS_WITH_BODY:
+    if body_bytes is None:
+        lines.append(b"\r\ntransfer-encoding: chunked")
+    elif body_bytes or method in METHODS_WITH_BODY:
         lines.append(b"\r\ncontent-length: %d" % body_bytes)
     head = b"".join(lines)
     if grammar.REQUEST_HEAD.fullmatch(head) is None:
--- a/src/irisstand/http1/connection_budget.py
+++ b/src/irisstand/http1/connection_budget.py
@@ -1,9 +1,9 @@
 """What one accepted HTTP connection holds: unread bytes, a request's body, a response and its unsent part."""
 
-import collections.abc
 import typing
 
 from irisstand import resource_budget
+from irisstand.http1 import body_source
 
 # A small piece of a body takes up this much beside its bytes until the body is complete.
 PIECE_OVERHEAD_BYTES = 64
@@ -39,8 +39,9 @@
         self.connection = connection
         self.holding = holding
         self.body_bytes = 0
-        # The only reference to the body of a large response while it is sent.
-        self.response: bytes | None = None
+        # Whether the body is passed on while it arrives, so that no more of it is held.
+        self.is_passing_on = False
+        self.response: body_source.BodySource | None = None
 
     def update(self) -> None:
         """Count what the connection holds now."""
@@ -53,27 +54,26 @@
 
     def take_piece(self, length: int) -> bool:
         """Count a piece of a request's body; return whether the budget had room for it."""
+        if self.is_passing_on:
+            return True
         self.body_bytes += length + PIECE_OVERHEAD_BYTES
         return self.holding.try_set(self._size(), resource_budget.REQUESTS_FRACTION)
 
+    def pass_on_body(self) -> None:
+        """Count no further pieces of the body: each one is gone before the next is read."""
+        self.is_passing_on = True
+
     def end_body(self) -> None:
         """Count no body any more."""
+        self.is_passing_on = False
         self.body_bytes = 0
         self.update()
 
-    def begin_response(self, body: bytes) -> None:
-        """Count a response's body until it is sent; a body that others send too counts once."""
+    def begin_response(self, body: body_source.BodySource) -> None:
+        """Own a response's body until it is sent, or the connection has ended."""
         self.end_response()
         self.response = body
-        self.holding.retained = len(body)
-        self.holding.budget.bodies.retain(body)
-
-    def slices(self, length: int) -> collections.abc.Iterator[bytes]:
-        """Yield the response in slices of a length in bytes."""
-        start = 0
-        while self.response is not None and start < len(self.response):
-            yield self.response[start : start + length]
-            start += length
+        self.holding.retained = body.retained_bytes
 
     def sent(self, length: int) -> None:
         """Count progress in sending the response."""
@@ -81,9 +81,9 @@
         self.update()
 
     def end_response(self) -> None:
-        """Count the response no more."""
+        """Close the response's body."""
         if self.response is not None:
-            self.holding.budget.bodies.release(self.response)
+            self.response.close()
             self.response = None
             self.holding.retained = 0
 
--- a/src/irisstand/shared_bodies.py
+++ b/src/irisstand/shared_bodies.py
@@ -9,6 +9,10 @@
 HANDOVER_SECONDS = 1.0
 
 
+# A body is sent in pieces of this size.
+PIECE_BYTES = LARGE_BODY_BYTES
+
+
 class Holding(typing.Protocol):
     """Where the bodies are counted."""
 
@@ -78,3 +82,35 @@
     def _end_handover(self, retained: RetainedBody) -> None:
         retained.expiry = None
         self.release(retained.body)
+
+
+class SharedBodyReader:
+    """Reads a body that is held whole in pieces (a `BodySource`); the body counts until the reader is closed.
+
+    Args:
+        bodies: Where the body is counted.
+        body: The complete body.
+    """
+
+    def __init__(self, bodies: SharedBodies, body: bytes) -> None:
+        bodies.retain(body)
+        self.bodies = bodies
+        # The only reference to the body while it is sent.
+        self.body: bytes | None = body
+        self.length: int | None = len(body)
+        self.retained_bytes = len(body)
+        self.position = 0
+
+    async def read(self) -> bytes:
+        """Return the next piece, or nothing at the end."""
+        if self.body is None:
+            return b""
+        piece = self.body[self.position : self.position + PIECE_BYTES]
+        self.position += len(piece)
+        return piece
+
+    def close(self) -> None:
+        """Count the body no more."""
+        if self.body is not None:
+            self.bodies.release(self.body)
+            self.body = None
--- a/src/irisstand/simulator/hostile_scripts.py
+++ b/src/irisstand/simulator/hostile_scripts.py
@@ -111,6 +111,7 @@
             await self.check_rejection(kind, request_id, error)
             return
         self.answered += 1
+        assert isinstance(response.body, bytes), "the origins' responses are small"
         expected = b"" if method == "HEAD" else f"{target} answered".encode()
         is_sealed = method == "HEAD" or response.headers.get(
             hostile_origin.DIGEST_HEADER
--- a/tests/dataplane/test_listener.py
+++ b/tests/dataplane/test_listener.py
@@ -142,3 +142,69 @@
 
     status = int(run_with_listener(scenario, cancelled).split()[1])
     assert status == errors.OutcomeUnknownError.status
+
+
+def test_large_body_is_passed_on_while_it_arrives():
+    async def count(request):
+        assert not isinstance(request.body, bytes)
+        received = 0
+        while piece := await request.body.read():
+            received += len(piece)
+        return exchange.Answer(200, {}, b"%d bytes" % received)
+
+    async def scenario(harness):
+        reader, writer = await harness.connect()
+        head = f"POST /writes/1 HTTP/1.1\r\nHost: h\r\nContent-Length: {LARGE}\r\n\r\n"
+        writer.write(head.encode() + b"x" * LARGE + HEAD)
+        first = await reader.readuntil(b"%d bytes" % LARGE)
+        # The next request behind the body is a request of its own.
+        second = await reader.readuntil(b"\r\n")
+        writer.close()
+        return first, second
+
+    first, second = run_with_listener(scenario, count)
+    assert b" 200 " in first.split(b"\r\n")[0]
+    assert b" 500 " in second or b" 504 " in second
+
+
+def test_body_that_announces_more_than_the_limit_is_refused_at_once():
+    async def scenario(harness):
+        reader, writer = await harness.connect()
+        writer.write(f"POST /w HTTP/1.1\r\nHost: h\r\nContent-Length: {LARGE + 1}\r\n\r\n".encode())
+        response = await reader.readuntil(b"\r\n")
+        writer.close()
+        return response
+
+    assert b" 413 " in run_with_listener(scenario, echo_body)
+
+
+def test_response_that_ends_early_resets_the_connection_of_its_client():
+    class Cut:
+        length, retained_bytes = 10, 0
+
+        def __init__(self):
+            self.pieces = [b"short"]
+            self.is_closed = False
+
+        async def read(self):
+            if self.pieces:
+                return self.pieces.pop()
+            raise errors.OriginFailedError("cut off")
+
+        def close(self):
+            self.is_closed = True
+
+    source = Cut()
+
+    async def cut(request):
+        return exchange.Answer(200, {}, source)
+
+    async def scenario(harness):
+        reader, writer = await harness.connect()
+        writer.write(HEAD)
+        with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
+            await reader.readuntil(b"a complete response")
+        writer.close()
+
+    run_with_listener(scenario, cut)
+    assert source.is_closed
--- a/tests/mutation/departure_mutations.py
+++ b/tests/mutation/departure_mutations.py
@@ -79,7 +79,7 @@
         CLIENTS + "::test_attempt_ends_soon_after_the_deadline_of_a_client_that_was_not_answered",
     ),
     (
-        "dataplane/cache/object_cache.py",
+        "dataplane/cache/request_coalescer.py",
         "                shared.task.cancel()\n",
         "                pass\n",
         CLIENTS + "::test_shared_fetch_ends_with_its_last_client",
--- a/tests/mutation/direct_edge_mutations.py
+++ b/tests/mutation/direct_edge_mutations.py
@@ -39,9 +39,9 @@
         "dataplane/test_direct_edge.py",
     ),
     (
-        "dataplane/upstream/exchange.py",
-        "        if found is not None and found != self.request_id:",
-        "        if False:",
+        "dataplane/upstream/response_reader.py",
+        "        return found is not None and found != self.request_id",
+        "        return False",
         "dataplane/test_exchange.py",
     ),
     (
@@ -183,9 +183,9 @@
         "controlplane/test_rate_quota.py",
     ),
     (
-        "dataplane/upstream/exchange.py",
-        "        return self.is_first_request if found is None else found == self.request_id",
-        "        return found in (None, self.request_id)",
+        "dataplane/upstream/response_reader.py",
+        "        is_for_request = self.is_first_request if found is None else found == self.request_id",
+        "        is_for_request = found in (None, self.request_id)",
         "dataplane/test_exchange_hostile_origins.py",
     ),
     (
--- a/tests/mutation/http_mutations.py
+++ b/tests/mutation/http_mutations.py
@@ -25,7 +25,7 @@
         "http1/test_chunked_coding.py",
     ),
     (
-        "http1/strict_protocol.py",
+        "http1/strict_http.py",
         "        self.url = None\n",
         "",
         SMUGGLING + "::test_malformed_targets_are_answered",
--- a/tests/mutation/shutdown_mutations.py
+++ b/tests/mutation/shutdown_mutations.py
@@ -21,7 +21,7 @@
         "dataplane/test_stopping_edges.py",
     ),
     (
-        "dataplane/upstream/client.py",
+        "dataplane/upstream/call_state.py",
         "        if all(map(self.retry_policy.may_withdraw, sent)):\n",
         "        if True:\n",
         "dataplane/test_stopping_edges.py",
