Frames between nodes: a response is written once its peer has read most of those before, and counts until then

What peers could do: send up to 2,000 requests on a connection and read no response. Every response went into the write buffer of the connection, at a holder up to 8 MiB each, and counted nowhere. Control plane nodes, edges and holders share this code.

Cause: the flush came after the write, and each response has a task of its own, so none waited for another. Same class as the slow readers: bytes for a peer that does not read have no owner.

Change: responses of a connection are written one at a time, each counts in the budget until it is sent, a response without room becomes `over-ceiling`, and a connection on which responses wait gives way to others.

--- a/src/irisstand/localcluster/fault_injection.py
+++ b/src/irisstand/localcluster/fault_injection.py
@@ -115,6 +115,10 @@
         else:
             self.inner.write(payload)
 
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self.close()
+
     async def flush(self) -> None:
         """Wait until the send buffer of the real connection has room."""
         await self.inner.flush()
--- a/src/irisstand/node_context.py
+++ b/src/irisstand/node_context.py
@@ -76,6 +76,7 @@
         self.load_gauge = counters.LoadGauge(clock)
         self.transport = peers.Transport(net, self.counters, settings.name)
         self.transport.own_incarnation_id = lambda: self.detector.identity.incarnation_id
+        self.transport.budget = self.budget
         self.transport.handlers["gauge"] = self.on_load
         self.transport.handlers["tips"] = self.on_applied_versions
         self.joiner = joining.Joiner(self.detector, self.transport, settings.seeds)
--- a/src/irisstand/simulator/memory_network.py
+++ b/src/irisstand/simulator/memory_network.py
@@ -90,6 +90,10 @@
             # The peer's machine is up but the connection is gone there, so it replies with a reset.
             self.received.put_nowait(None)
 
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self.close()
+
     async def flush(self) -> None:
         """Return at once, since the stream buffers nothing before it sends.
 
--- a/src/irisstand/transport/network.py
+++ b/src/irisstand/transport/network.py
@@ -33,6 +33,10 @@
         """Close the connection without waiting until it is closed."""
         ...
 
+    def abort(self) -> None:
+        """Close the connection at once, and drop what has not been sent."""
+        ...
+
 
 class DatagramSocket(typing.Protocol):
     """A socket that sends datagrams; received ones are passed to the callback that it was opened with."""
@@ -142,6 +146,10 @@
 
     def evict(self) -> None:
         """Close the connection at once."""
+        self.abort()
+
+    def abort(self) -> None:
+        """Close the connection at once, and drop what has not been sent."""
         self.writer.transport.abort()
 
     def write(self, payload: bytes) -> None:
--- a/src/irisstand/transport/request_server.py
+++ b/src/irisstand/transport/request_server.py
@@ -5,7 +5,7 @@
 import contextlib
 import typing
 
-from irisstand import counters, errors, event_log
+from irisstand import counters, errors, event_log, resource_budget
 from irisstand.transport import codec, network
 
 # The maximum number of requests in flight on one connection; a connection that exceeds it is closed.
@@ -47,6 +47,7 @@
             valid. Requests of nodes of the previous version have the id "".
         listener: The listening socket, None until `open` is called.
         serving_tasks: The tasks that serve incoming connections; the values are not used.
+        budget: The budget in which responses count until they are sent; None if they do not.
     """
 
     def __init__(self, net: network.Network, counters: counters.Counters, name: str) -> None:
@@ -57,6 +58,7 @@
         self.own_incarnation_id: collections.abc.Callable[[], str] = str
         self.own_incarnation_ids = {""}
         self.listener: network.Listener | None = None
+        self.budget: resource_budget.ResourceBudget | None = None
         # A dict keeps the order in which the tasks were started. The order of a set differs between runs, and
         # simulated days must be reproducible.
         self.serving_tasks: dict[asyncio.Task[typing.Any], None] = {}
@@ -126,6 +128,8 @@
         server: The server with the handlers.
         sender: The peer's node name; "" before its hello.
         tasks: The tasks of requests in flight, by call number.
+        writing: Held by the response that is being written, until the peer has read most of it.
+        holding: What the responses that wait for the peer hold of the budget; None if they do not count.
     """
 
     def __init__(self, stream: network.Stream, server: RequestServer) -> None:
@@ -133,6 +137,8 @@
         self.server = server
         self.sender = ""
         self.tasks: dict[int, asyncio.Task[None]] = {}
+        self.writing = asyncio.Lock()
+        self.holding = None if server.budget is None else server.budget.open(self)
 
     async def serve(self) -> None:
         """Read messages until the connection ends or one is malformed, then cancel the requests in flight."""
@@ -149,6 +155,16 @@
             self.stream.close()
             for task in list(self.tasks.values()):
                 task.cancel()
+            if self.holding is not None:
+                self.holding.close()
+
+    def is_evictable(self) -> bool:
+        """Return whether responses wait for the peer to read."""
+        return self.writing.locked()
+
+    def evict(self) -> None:
+        """Close the connection at once; the peer's calls fail."""
+        self.stream.abort()
 
     def _receive(self, message: codec.Message) -> None:
         match message:
@@ -174,7 +190,27 @@
 
     async def _answer(self, request: codec.Request) -> None:
         response = await self.server.respond(self.sender, request)
-        # If the connection has closed, the response is dropped: the caller sees the closed connection itself.
-        with contextlib.suppress(OSError):
-            self.stream.write(codec.encode(response))
-            await self.stream.flush()
+        frame = codec.encode(response)
+        held_bytes = len(frame)
+        if not self._hold(held_bytes):
+            held_bytes = 0
+            error = errors.LimitExceededError("this node has no memory left for the response")
+            frame = codec.encode(codec.ErrorResponse(request.number, error.to_wire()))
+        try:
+            # If the connection has closed, the response is dropped: the caller sees the closed connection.
+            with contextlib.suppress(OSError):
+                # A response is written once the peer has read most of those before.
+                async with self.writing:
+                    self.stream.write(frame)
+                    await self.stream.flush()
+        finally:
+            self._release(held_bytes)
+
+    def _hold(self, length: int) -> bool:
+        """Count a response until it is sent; return whether there is room for it."""
+        return self.holding is None or self.holding.try_set(self.holding.size + length)
+
+    def _release(self, length: int) -> None:
+        if self.holding is not None:
+            self.holding.speed.add(length)
+            self.holding.try_set(max(0, self.holding.size - length))
