Platform's list of origins: at most 8 MiB are read

What could happen: a platform whose answer has no end fills the memory of the control plane node that asks for the list, for two seconds at the speed of the network. Cause: the body was read whole, without a limit.

--- a/src/irisstand/controlplane/singletons/origin_source.py
+++ b/src/irisstand/controlplane/singletons/origin_source.py
@@ -12,6 +12,8 @@
 
 HTTP_TIMEOUT_SECONDS = 2.0
 HTTP_OK = 200
+ANSWER_LIMIT_BYTES = 8 * 1024 * 1024
+PIECE_BYTES = 64 * 1024
 ORIGIN_SCHEMA = {
     "type": "object",
     "required": ["id", "service", "host", "port", "site", "state"],
@@ -88,7 +90,8 @@
     """Send a GET request for a URL on a new connection, and return the response.
 
     Raises:
-        BadRequestError: The response has a status other than 200, or the request failed.
+        BadRequestError: The response has a status other than 200 or is larger than `ANSWER_LIMIT_BYTES`, or
+            the request failed.
         TimeoutError: There was no complete response within `timeout_seconds`.
     """
     # Imported only by the node that asks the platform: without this import the others restart faster.
@@ -102,7 +105,12 @@
         ):
             if response.status != HTTP_OK:
                 raise errors.BadRequestError(f"the platform responded with status {response.status}")
-            return HttpAnswer(await response.read(), response.headers)
+            body = bytearray()
+            async for piece in response.content.iter_chunked(PIECE_BYTES):
+                body += piece
+                if len(body) > ANSWER_LIMIT_BYTES:
+                    raise errors.BadRequestError("the platform's response is too large")
+            return HttpAnswer(bytes(body), response.headers)
     except aiohttp.ClientError as error:
         raise errors.BadRequestError(f"the request to the platform failed: {error!r}") from None
 
