Shields: responses of origins count in the budget while they arrive

Cause: role shield read bodies of up to 4 MiB that counted nowhere until they were in the cache or in a frame. One that finds no room now ends its attempt as a failure of the origin, which promises nothing. The test fails without the parameter: `open_http` took no budget.

--- a/src/irisstand/dataplane/nodes/shield.py
+++ b/src/irisstand/dataplane/nodes/shield.py
@@ -202,4 +202,4 @@
     context: node_context.NodeContext, view: configuration_view.ConfigurationView, connect: typing.Any
 ) -> Shield:
     """Create the shield of a node; `connect` opens connections to origins, None stands for network ones."""
-    return Shield(context, view, connect or connections.open_http)
+    return Shield(context, view, connect or functools.partial(connections.open_http, budget=context.budget))
--- a/src/irisstand/dataplane/upstream/connections.py
+++ b/src/irisstand/dataplane/upstream/connections.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from irisstand import errors
+from irisstand import errors, resource_budget
 from irisstand.dataplane.upstream import connection_state
 
 BODY_LIMIT_BYTES = 4 * 1024 * 1024
@@ -61,9 +61,16 @@
 
 
 class HttpConnection:
-    """An aiohttp session that opens exactly one connection."""
+    """An aiohttp session that opens exactly one connection.
 
-    def __init__(self, host: str, port: int) -> None:
+    Args:
+        host: The origin's host.
+        port: The origin's port.
+        budget: The budget in which responses count while they arrive; None if they do not.
+    """
+
+    def __init__(self, host: str, port: int, budget: resource_budget.ResourceBudget | None = None) -> None:
+        self.budget = budget
         self.base = f"http://{host}:{port}"
         self.state = connection_state.ConnectionState.NEW
         self.may_have_sent = False
@@ -130,12 +137,19 @@
 
     async def read(self, response: aiohttp.ClientResponse) -> Answer:
         """Read the body, and return the complete response."""
+        holding = None if self.budget is None else self.budget.open()
         content = bytearray()
-        async for chunk in response.content.iter_chunked(CHUNK_BYTES):
-            content += chunk
-            # An endless body must not exhaust the memory of this process.
-            if len(content) > BODY_LIMIT_BYTES:
-                raise errors.ResponseIntegrityError(f"the response body is over {BODY_LIMIT_BYTES} bytes")
+        try:
+            async for chunk in response.content.iter_chunked(CHUNK_BYTES):
+                content += chunk
+                # An endless body must not exhaust the memory of this process.
+                if len(content) > BODY_LIMIT_BYTES:
+                    raise errors.ResponseIntegrityError(f"the response body is over {BODY_LIMIT_BYTES} bytes")
+                if holding is not None and not holding.try_set(len(content)):
+                    raise errors.OriginFailedError("this node has no memory left for the response")
+        finally:
+            if holding is not None:
+                holding.close()
         headers = {name.lower(): value for name, value in response.headers.items()}
         if headers.get("connection", "").lower() == "close":
             self.state = connection_state.ConnectionState.CLOSED
@@ -147,9 +161,11 @@
         await self.session.close()
 
 
-async def open_http(host: str, port: int) -> UpstreamConnection:
+async def open_http(
+    host: str, port: int, budget: resource_budget.ResourceBudget | None = None
+) -> UpstreamConnection:
     """Return a connection to an origin; the TCP connection is opened by the first request."""
-    return HttpConnection(host, port)
+    return HttpConnection(host, port, budget)
 
 
 async def confirm_identity(
--- a/tests/dataplane/test_upstream_connections.py
+++ b/tests/dataplane/test_upstream_connections.py
@@ -6,7 +6,7 @@
 import aiohttp.web
 import pytest
 
-from irisstand import errors
+from irisstand import counters, errors, resource_budget
 from irisstand.dataplane.cache import objects
 from irisstand.dataplane.upstream import connections
 
@@ -112,3 +112,26 @@
             objects.check_integrity(
                 {key: value for key, value in good.items() if key != missing}, body, "mine"
             )
+
+
+def test_response_that_the_budget_has_no_room_for_fails_and_counts_no_more():
+    budget = resource_budget.ResourceBudget(1_000_000, 10, lambda: 0.0, counters.Counters())
+
+    async def scenario():
+        async def answer(request):
+            return aiohttp.web.Response(body=b"x" * int(request.path[1:]))
+
+        app = aiohttp.web.Application()
+        app.router.add_route("*", "/{rest:.*}", answer)
+        runner = aiohttp.web.AppRunner(app)
+        await runner.setup()
+        await aiohttp.web.TCPSite(runner, "127.0.0.1", 0).start()
+        connection = await connections.open_http("127.0.0.1", runner.addresses[0][1], budget)
+        whole = await connection.send("GET", "/900000", {}, b"", 5)
+        with pytest.raises(errors.OriginFailedError):
+            await connection.send("GET", "/2000000", {}, b"", 5)
+        await connection.close()
+        await runner.cleanup()
+        return len(whole.body), budget.held
+
+    assert asyncio.run(scenario()) == (900_000, 0)
