Object holders: a large object is answered by a message of its own, not by an error

The error of the change before would have been a new code on the wire, recorded with all others. A holder's requests for one large object share the fetch that shows that it is large.

--- a/src/irisstand/dataplane/cache/holder_messages.py
+++ b/src/irisstand/dataplane/cache/holder_messages.py
@@ -5,10 +5,11 @@
 from irisstand.dataplane.cache import objects
 from irisstand.state import versions
 
-# The message kind of an object request, and the two kinds of its response (the first field of the response).
+# The message kind of an object request, and the kinds of its response (the first field of the response).
 OBJECT_REQUEST_KIND = "object"
 OBJECT_RESPONSE_KIND = "object"
 NOT_MODIFIED_RESPONSE_KIND = "same"
+TOO_LARGE_RESPONSE_KIND = "large"
 
 
 class ObjectRequest(typing.NamedTuple):
@@ -100,6 +101,19 @@
         return (NOT_MODIFIED_RESPONSE_KIND, (tuple(self.applied), self.age, self.ttl))
 
 
+class TooLarge(typing.NamedTuple):
+    """A response without the object, which is too large for a message: the requesting node fetches it."""
+
+    @classmethod
+    def is_in(cls, body: typing.Any) -> bool:
+        """Return whether this is the decoded body of a response."""
+        return bool(body) and body[0] == TOO_LARGE_RESPONSE_KIND
+
+    def to_wire(self) -> tuple[typing.Any, ...]:
+        """Return the body of the response."""
+        return (TOO_LARGE_RESPONSE_KIND, ())
+
+
 def object_response(content: objects.CachedObject, received_at: float) -> tuple[typing.Any, ...]:
     """Return the body of a response with the complete object.
 
--- a/src/irisstand/dataplane/cache/object_holders.py
+++ b/src/irisstand/dataplane/cache/object_holders.py
@@ -177,9 +177,10 @@
             self.context.counters.add("holder_failures", code=error.code)
             if error.code in AVOIDANCE_CODES:
                 self.pause_holder(name)
-            if isinstance(error, errors.ObjectTooLargeError):
-                self.note_large(key)
             raise
+        if holder_messages.TooLarge.is_in(body):
+            self.note_large(key)
+            raise errors.OriginFailedError("the object is too large for its holder")
         return holder_messages.object_from_wire(body, sent_at, cached)
 
     def note_large(self, key: str) -> None:
--- a/src/irisstand/dataplane/cache/object_reader.py
+++ b/src/irisstand/dataplane/cache/object_reader.py
@@ -57,6 +57,8 @@
         self.fetch_from_holder = fetch_from_holder
         self.header_names = origins.header_names
         self.cache = object_cache.ObjectCache(context.settings.cache_bytes, context.budget)
+        # A holder passes on no large objects, so its requests may share a fetch to find out that one is large.
+        self.is_holder = context.role == "holder"
         self.coalescer = request_coalescer.RequestCoalescer()
 
     async def read(
@@ -100,7 +102,8 @@
         self, lookup: object_lookup.ObjectLookup, fetched: objects.CachedObject
     ) -> objects.CachedObject:
         """Have a large object that may be cached kept while its client reads it."""
-        if fetched.ttl <= 0 or not isinstance(fetched.body, response_stream.ResponseStream):
+        is_large = isinstance(fetched.body, response_stream.ResponseStream)
+        if fetched.ttl <= 0 or not is_large or self.is_holder:
             return fetched
         return fetched._replace(body=self.cache.fill(lookup.key, fetched))
 
@@ -147,7 +150,7 @@
                 if not is_joined or deadline - self.context.clock.now() < MIN_REMAINING_SECONDS:
                     raise
                 continue
-            if is_taken(fetched.body):
+            if not self.is_holder and is_taken(fetched.body):
                 # No other request shares the next fetch of this one.
                 key = (key, object())
                 continue
--- a/src/irisstand/dataplane/cache/object_server.py
+++ b/src/irisstand/dataplane/cache/object_server.py
@@ -50,7 +50,7 @@
         if not isinstance(content.body, bytes):
             if not isinstance(content.body, stored_body.StoredBody):
                 content.body.close()
-            raise errors.ObjectTooLargeError("the object is too large for a message between nodes")
+            return holder_messages.TooLarge().to_wire()
         # The requesting node adds the time since its request to the age, so this node must not add it too.
         if message.cached_etag and content.ttl > 0 and object_lookup.etag_of(content) == message.cached_etag:
             return holder_messages.NotModified.from_object(content, received_at).to_wire()
--- a/src/irisstand/errors/__init__.py
+++ b/src/irisstand/errors/__init__.py
@@ -17,7 +17,6 @@
 UnansweredError = calls.UnansweredError
 UnknownNameError = calls.UnknownNameError
 BadRequestError = calls.BadRequestError
-ObjectTooLargeError = calls.ObjectTooLargeError
 
 InsufficientCapacityError = changes.InsufficientCapacityError
 InvalidChangeError = changes.InvalidChangeError
--- a/src/irisstand/errors/calls.py
+++ b/src/irisstand/errors/calls.py
@@ -45,10 +45,3 @@
     """A request cannot be decoded, or its fields are not those that the receiver expects."""
 
     code, status, remedy = "bad-request", 400, "send what the operators' page describes"
-
-
-class ObjectTooLargeError(base.IrisError):
-    """An object holder does not pass on large objects: the requesting node fetches them from an origin."""
-
-    code, status, remedy = "object-too-large", 502, "fetch the object from an origin"
-    default_retry_after = 1.0
