--- a/src/irisstand/dataplane/cache/object_reader.py
+++ b/src/irisstand/dataplane/cache/object_reader.py
@@ -57,7 +57,7 @@
         self.fetch_from_holder = fetch_from_holder
         self.header_names = origins.header_names
         self.cache = object_cache.ObjectCache(context.settings.cache_bytes, context.budget)
-        # A holder passes on no large objects, so its requests may share a fetch to find out that one is large.
+        # A holder passes on no large objects: its requests may share the fetch that shows that one is large.
         self.is_holder = context.role == "holder"
         self.coalescer = request_coalescer.RequestCoalescer()
 
