Errors: one that is kept holds no frames, and one that is raised is kept by none of them

Cause: a rejected request leaves a cycle: the error refers by its traceback to the frames that it passed, and one of these to the decision or the policy that holds the error. The request with its body, up to 1 MiB, stays until the garbage collector looks at the oldest generation. The budget counts it no more by then.

Change: errors that become values (events of a retry policy) forget their frames; what raises a kept error raises a copy; the coalescer's frame forgets its fetch.

--- a/src/irisstand/dataplane/cache/holder_read.py
+++ b/src/irisstand/dataplane/cache/holder_read.py
@@ -75,4 +75,5 @@
             return events.ResponseReceived(task.result(), source)
         error = task.exception()
         assert isinstance(error, errors.IrisError), "task.result() above raises every other exception"
+        error = error.without_frames()
         return events.HolderFailed(error) if source else events.AttemptFailed(error, "")
--- a/src/irisstand/dataplane/cache/request_coalescer.py
+++ b/src/irisstand/dataplane/cache/request_coalescer.py
@@ -40,9 +40,7 @@
             Exception: The fetch raised it.
         """
         if not self.is_in_flight(key):
-            task = asyncio.get_running_loop().create_task(fetch())
-            self.in_flight[key] = SharedFetch(task)
-            task.add_done_callback(lambda done: self.on_done(key, done))
+            self.start(key, fetch())
         shared = self.in_flight[key]
         shared.waiters += 1
         try:
@@ -54,6 +52,16 @@
             if not shared.waiters and not shared.task.done():
                 shared.task.cancel()
                 self.forget(key, shared.task)
+            # The error of the fetch refers to this frame, and the fetch to its error.
+            del shared
+
+    def start(
+        self, key: typing.Hashable, fetch: collections.abc.Coroutine[typing.Any, typing.Any, typing.Any]
+    ) -> None:
+        """Start a fetch as a task."""
+        task = asyncio.get_running_loop().create_task(fetch)
+        self.in_flight[key] = SharedFetch(task)
+        task.add_done_callback(lambda done: self.on_done(key, done))
 
     def on_done(self, key: typing.Hashable, task: asyncio.Task[typing.Any]) -> None:
         """Forget a fetch that ended, and retrieve its exception: asyncio logs one that nobody retrieves."""
--- a/src/irisstand/dataplane/nodes/edge.py
+++ b/src/irisstand/dataplane/nodes/edge.py
@@ -150,7 +150,7 @@
                 case actions.Respond():
                     return fetched
                 case actions.Reject():
-                    raise action.error
+                    raise action.error.copy()
                 case actions.FetchAgain():
                     self.context.counters.add("fetched_again")
                     minimum_version = max(minimum_version, action.minimum_version)
--- a/src/irisstand/dataplane/retry/policy.py
+++ b/src/irisstand/dataplane/retry/policy.py
@@ -88,5 +88,5 @@
         errors.IrisError: The policy rejected the request with this error.
     """
     if isinstance(decision, actions.Reject):
-        raise decision.error
+        raise decision.error.copy()
     return decision.response
--- a/src/irisstand/dataplane/upstream/attempts.py
+++ b/src/irisstand/dataplane/upstream/attempts.py
@@ -160,7 +160,7 @@
         except (OSError, TimeoutError, ValueError, errors.IrisError) as error:
             may_have_sent = attempt.may_have_sent
             self.context.counters.add("origin_failures", service=attempt.service, touched=str(may_have_sent))
-            iris_error = forwarding_policy.as_iris_error(error)
+            iris_error = forwarding_policy.as_iris_error(error).without_frames()
             return events.AttemptFailed(iris_error, endpoint.instance, may_have_sent, may_have_sent)
         except asyncio.CancelledError:
             if attempt.may_have_sent:
--- a/src/irisstand/dataplane/upstream/client.py
+++ b/src/irisstand/dataplane/upstream/client.py
@@ -85,7 +85,7 @@
             decision = await self.decide(call)
         if isinstance(decision, actions.Reject):
             self.context.counters.add("rejected", code=decision.error.code)
-            raise decision.error
+            raise decision.error.copy()
         return decision.response
 
     async def decide(self, call: call_state.Call) -> actions.Respond[exchange.Answer] | actions.Reject:
@@ -142,7 +142,7 @@
         try:
             endpoint, upstream, delay = self.choose(call)
         except errors.IrisError as error:
-            return events.NoEndpoint(error)
+            return events.NoEndpoint(error.without_frames())
         is_cold = endpoint.is_cold()
         if is_cold:
             self.endpoints.take_cold_token(endpoint)
--- a/src/irisstand/dataplane/upstream/response_stream.py
+++ b/src/irisstand/dataplane/upstream/response_stream.py
@@ -112,7 +112,7 @@
         """
         while not self.buffer:
             if self.error is not None:
-                raise self.error
+                raise self.error.copy()
             if self.has_ended:
                 return b""
             self.arrived.clear()
--- a/src/irisstand/drain_guard.py
+++ b/src/irisstand/drain_guard.py
@@ -77,7 +77,7 @@
         except asyncio.CancelledError:
             # As in asyncio.timeout, only a cancellation by this guard becomes an error; others propagate.
             if entry.error is not None and entry.task is not None and entry.task.uncancel() <= 0:
-                raise entry.error from None
+                raise entry.error.copy() from None
             raise
         finally:
             del self.guarded[entry]
--- a/src/irisstand/errors/base.py
+++ b/src/irisstand/errors/base.py
@@ -1,5 +1,6 @@
 """The base class of all typed errors, and the form in which errors are sent between nodes."""
 
+import copy
 import typing
 
 # The error classes that `from_wire` can rebuild, by code: all classes whose constructor takes a message, a
@@ -65,6 +66,19 @@
         """Return the fields of this error that are sent to other nodes."""
         return WireError(self.code, str(self), self.remedy, self.retry_after)
 
+    def copy(self) -> typing.Self:
+        """Return an equal error to raise in place of one that is kept.
+
+        Through its traceback, a raised error refers to the frames that it has passed. If one of them refers
+        to the error, too, only the garbage collector frees them, with all that their request holds.
+        """
+        return copy.copy(self)
+
+    def without_frames(self) -> typing.Self:
+        """Forget the frames in which this error was raised, as it is kept as a value; return the error."""
+        self.__traceback__ = self.__context__ = self.__cause__ = None
+        return self
+
     def to_json(self) -> dict[str, typing.Any]:
         """Return the JSON object that describes this error in the body of an HTTP response."""
         return {"code": self.code, "message": str(self), "remedy": self.remedy}
