Dropped connections: no piece and no body waits for the garbage collector

Cause: a client that leaves ends its handler with an exception, whose frames sanic's objects refer to until they are collected: the piece that was sent last, the part of a body that had come, the body of an operator's request. Each is freed now when its connection ends.

Also mended, found by a test of the landing's own streams under load: the end of a large answer that came together with a full window left its connection paused, so that the next request on it would have waited for its deadline. `test_connection_is_read_again_after_an_answer_whose_end_filled_the_window` fails without the mend.

--- a/src/irisstand/dataplane/http/request_body.py
+++ b/src/irisstand/dataplane/http/request_body.py
@@ -64,6 +64,10 @@
                         idle_timeout.reschedule(extended_at + allowed_seconds)
         except TimeoutError:
             raise self._end_idle() from None
+        except BaseException:
+            # The frames of a request that is broken off may live on for a while.
+            body.clear()
+            raise
         return bytes(body)
 
     async def _read_piece(self) -> bytes:
--- a/src/irisstand/dataplane/upstream/exchange.py
+++ b/src/irisstand/dataplane/upstream/exchange.py
@@ -141,6 +141,8 @@
 
     def end_response(self) -> None:
         """Determine from a complete response whether the connection may be reused."""
+        # The end may have come together with so much that reading had stopped.
+        self.resume_reading()
         self.update_reuse()
         self.idle_since = asyncio.get_running_loop().time()
 
--- a/src/irisstand/http1/strict_http.py
+++ b/src/irisstand/http1/strict_http.py
@@ -101,12 +101,19 @@
 
     def init_for_request(self) -> None:
         """Prepare for the next request; the body of the last one is held no more."""
+        self.free_request()
         parent: typing.Any = super()
         parent.init_for_request()
         self.decoder = chunked_coding.ChunkedDecoder()
         self.protocol.budget.end_body()
         self.protocol.budget.end_response()
 
+    def free_request(self) -> None:
+        """Free the body of the last request, which sanic's objects refer to until they are collected."""
+        last: typing.Any = getattr(self, "request", None)
+        if last is not None:
+            last.body = b""
+
     async def http1_response_header(self, data: bytes, end_stream: bool) -> None:  # noqa: FBT001 - sanic's
         """Send the head of a response, with all of a small body or the pieces of a large one."""
         parent: typing.Any = super()
@@ -161,9 +168,8 @@
         # Sanic sets the function that frames the body, or None once a body of known length is complete.
         send_piece: typing.Any = self.response_func
         try:
-            while piece := await self._next_piece(source):
-                await send_piece(piece, False)  # noqa: FBT003 - sanic's
-                self.protocol.budget.sent(len(piece))
+            while await self._send_piece(source, send_piece):
+                pass
             if self.response_func is not None:
                 await send_piece(b"", True)  # noqa: FBT003 - sanic's
         except (*BODY_ERRORS, sanic.exceptions.ServerError):
@@ -172,11 +178,18 @@
             self.protocol.evict()
             raise sanic.exceptions.RequestCancelled from None
 
-    async def _next_piece(self, source: body_source.BodySource) -> bytes:
-        """Return the next piece once the client has read most of what was sent."""
+    async def _send_piece(self, source: body_source.BodySource, send_piece: typing.Any) -> bool:
+        """Send the next piece once the client has read most of what was sent; return whether there was one.
+
+        No piece is held while this waits: the frames of a connection that ends may live on for a while.
+        """
         await self.protocol.wait_until_writable()
         async with asyncio.timeout(self.protocol.keep_alive_timeout):
-            return await source.read()
+            piece = await source.read()
+        if piece:
+            await send_piece(piece, False)  # noqa: FBT003 - sanic's
+            self.protocol.budget.sent(len(piece))
+        return bool(piece)
 
     async def _read_chunks(self) -> bytes | None:
         """Read the content of the chunks that have arrived, up to a limit; None at the end of the body."""
--- a/src/irisstand/http1/strict_protocol.py
+++ b/src/irisstand/http1/strict_protocol.py
@@ -48,6 +48,8 @@
         self.budget.close()
         # Sanic's objects refer to one another, so that only the garbage collector frees the connection.
         self.recv_buffer.clear()
+        if self.http is not None:
+            self.http.free_request()
 
     async def wait_until_writable(self) -> None:
         """Wait until the client has read most of what was sent; one that reads nothing is disconnected.
--- a/src/irisstand/web.py
+++ b/src/irisstand/web.py
@@ -12,7 +12,7 @@
 import sanic.response
 
 from irisstand import errors, event_log, listening_sockets, node_context
-from irisstand.http1 import open_connections, strict_protocol
+from irisstand.http1 import held_request, open_connections, strict_protocol
 
 BODY_LIMIT_BYTES = 4 * 1024 * 1024
 # An edge opens its listener after this time even if its replicas are not current.
@@ -79,7 +79,9 @@
         self.context = context
         self.log = log
         app_name = "".join(letter if letter.isalnum() else "_" for letter in context.settings.name)
-        self.app = sanic.Sanic(f"irisstand_{app_name}", configure_logging=False)
+        self.app = sanic.Sanic(
+            f"irisstand_{app_name}", configure_logging=False, request_class=held_request.HeldRequest
+        )
         self.app.config.update(SANIC_CONFIG)
         self.app.ctx.budget = context.budget
         self.server: typing.Any = None
--- a/tests/dataplane/test_passing_on.py
+++ b/tests/dataplane/test_passing_on.py
@@ -6,7 +6,7 @@
 import test_exchange
 
 from irisstand import counters, errors, resource_budget
-from irisstand.dataplane.upstream import connector, response_stream, streamed_body
+from irisstand.dataplane.upstream import connector, exchange, response_stream, streamed_body
 from irisstand.http1 import body_source
 
 MB = 1_000_000
@@ -49,6 +49,44 @@
     assert test_exchange.run_with_origin(origin, scenario) == (True, b"next")
 
 
+class PausableTransport:
+    """A transport that remembers whether reading is paused."""
+
+    def __init__(self):
+        self.is_paused = False
+
+    def is_closing(self):
+        return False
+
+    def pause_reading(self):
+        self.is_paused = True
+
+    def resume_reading(self):
+        self.is_paused = False
+
+    def write(self, data):
+        pass
+
+    def get_write_buffer_size(self):
+        return 0
+
+
+def test_connection_is_read_again_after_an_answer_whose_end_filled_the_window():
+    async def scenario():
+        connection, transport = exchange.Exchange(test_exchange.ID), PausableTransport()
+        connection.connection_made(transport)
+        sending = asyncio.get_running_loop().create_task(test_exchange.send_get(connection))
+        await asyncio.sleep(0)
+        whole = large_answer("a", b"x" * 2 * MB)
+        connection.data_received(whole[: -2 * response_stream.WINDOW_BYTES])
+        found = await sending
+        was_paused = transport.is_paused
+        connection.data_received(whole[-2 * response_stream.WINDOW_BYTES :])
+        return was_paused, transport.is_paused, len(await read_all(found.body))
+
+    assert asyncio.run(scenario()) == (True, False, 2 * MB)
+
+
 def test_answer_that_nobody_reads_holds_up_its_origin():
     sent = []
 
