Soak: overlapping series of signals, restarts and changes, with clients that never pause

With `--series`, actions of all kinds follow one another within a second in series that overlap, and half of the clients send on their open connection without a pause until it ends. Plans of earlier seeds stay as they are.

--- a/src/irisstand/soak/clients.py
+++ b/src/irisstand/soak/clients.py
@@ -81,7 +81,12 @@
         self.close()
 
     def idle_seconds(self) -> float:
-        """Draw how long the client waits before its next request: 0, 0.05, 0.3 or up to 3 seconds."""
+        """Draw how long the client waits before its next request: 0, 0.05, 0.3 or up to 3 seconds.
+
+        A busy client does not wait, so that its connection is in use until the process is gone.
+        """
+        if self.number < self.plan.busy_clients:
+            return 0.0
         return self.randomness.choice((0.0, 0.05, 0.3, self.randomness.uniform(0, MAX_IDLE_SECONDS)))
 
     def close(self) -> None:
--- a/src/irisstand/soak/runner.py
+++ b/src/irisstand/soak/runner.py
@@ -41,11 +41,13 @@
         edges: Number of edges; None to draw it from the seed.
         seconds: How long clients send requests in each run, in seconds.
         kills: Whether processes are killed, too, and lose their disks.
+        series: Whether there are overlapping series of all actions, and clients that never pause.
     """
 
     edges: int | None
     seconds: float
     kills: bool
+    series: bool
 
 
 class SoakReport(typing.NamedTuple):
@@ -146,7 +148,9 @@
             base = folder or stack.enter_context(tempfile.TemporaryDirectory(prefix="irisstand-soak-"))
             path = pathlib.Path(base) / f"seed-{seed}"
             path.mkdir(parents=True, exist_ok=True)
-            plan = shape.draw(seed, options.edges, options.seconds, kills=options.kills)
+            plan = shape.draw(
+                seed, options.edges, options.seconds, kills=options.kills, series=options.series
+            )
             print_line(f"seed {seed}: {plan}")
             report = asyncio.run(run_seed(plan, path))
         print_line(f"seed {seed}: {report.figures}")
--- a/src/irisstand/soak/schedule.py
+++ b/src/irisstand/soak/schedule.py
@@ -21,6 +21,8 @@
 MAX_SERIES_STOPS = 4
 # Times between two stops of a series, one of which is drawn.
 SERIES_GAPS_SECONDS = (0.05, 0.3, 1.0)
+# Smallest and largest number of actions in an overlapping series.
+SERIES_ACTIONS = (3, 8)
 # Wait between the readiness of all edges and the first request.
 SETTLE_SECONDS = 2.0
 # Connections that each origin of the service "app" accepts from all nodes together.
@@ -68,6 +70,18 @@
     return sorted(steps)
 
 
+def plan_series(plan: shape.SoakShape) -> list[Step]:
+    """Draw series in which actions of all kinds follow one another closely; the series overlap."""
+    randomness = random.Random(f"{plan.seed} series")
+    steps: list[Step] = []
+    for _ in range(plan.series):
+        at_seconds = randomness.uniform(1.0, max(2.0, plan.seconds - 4.0))
+        for _ in range(randomness.randint(*SERIES_ACTIONS)):
+            steps.append(Step(at_seconds, randomness.choice(list(Action))))
+            at_seconds += randomness.choice(SERIES_GAPS_SECONDS)
+    return steps
+
+
 class Operator:
     """Sends configurations to the control plane, and asks edges whether they are ready.
 
@@ -190,7 +204,7 @@
         """Carry out each step at its time, then wait for the changes of the configuration."""
         loop = asyncio.get_running_loop()
         started = loop.time()
-        for step in plan_steps(self.plan):
+        for step in sorted(plan_steps(self.plan) + plan_series(self.plan)):
             await asyncio.sleep(max(0.0, started + step.at_seconds - loop.time()))
             self.carry_out(step.action)
         await asyncio.gather(*self.order_tasks)
--- a/src/irisstand/soak/shape.py
+++ b/src/irisstand/soak/shape.py
@@ -16,6 +16,9 @@
 SLOW_READER_SHARE = 0.3
 # Average time between two kills.
 SECONDS_PER_KILL = 5.0
+# Average time between two overlapping series, and the fraction of the clients that never pause.
+SECONDS_PER_SERIES = 4.0
+BUSY_CLIENT_SHARE = 0.5
 # From this number of edges on, a run always has `LARGE_FLEET_HOLDERS` holders.
 LARGE_FLEET_EDGES = 40
 LARGE_FLEET_HOLDERS = 10
@@ -53,6 +56,8 @@
         is_thin: Whether clients are thin clients, which read responses slowly.
         stops: Number of times that an edge is to be sent SIGTERM.
         kills: Number of times that processes are to be sent SIGKILL.
+        series: Number of series in which signals, restarts and changes follow one another and overlap.
+        busy_clients: Number of clients that send on their open connection without a pause until it ends.
     """
 
     seed: int
@@ -70,9 +75,13 @@
     is_thin: bool
     stops: int
     kills: int = 0
+    series: int = 0
+    busy_clients: int = 0
 
 
-def draw(seed: int, edges: int | None, seconds: float, *, kills: bool = False) -> SoakShape:
+def draw(
+    seed: int, edges: int | None, seconds: float, *, kills: bool = False, series: bool = False
+) -> SoakShape:
     """Draw the parameters of a run from its seed.
 
     Args:
@@ -80,6 +89,7 @@
         edges: Number of edges; None to draw it from the seed.
         seconds: How long clients send requests, in seconds.
         kills: Whether processes are killed, too, and lose their disks.
+        series: Whether there are overlapping series, and clients that never pause.
     """
     randomness = random.Random(seed)
     count = edges or randomness.choice((5, 8, 12, 16))
@@ -101,4 +111,6 @@
         is_thin=is_thin,
         stops=max(3, int(seconds * count / 40)),
         kills=max(3, round(seconds / SECONDS_PER_KILL)) if kills else 0,
+        series=max(2, round(seconds / SECONDS_PER_SERIES)) if series else 0,
+        busy_clients=int(3 * count * BUSY_CLIENT_SHARE) if series else 0,
     )
--- a/tests/programs/test_soak.py
+++ b/tests/programs/test_soak.py
@@ -98,6 +98,14 @@
         assert len(verdict.Verdict(run_records).violations) == expected, used_mb
 
 
+def test_no_request_is_lost_while_series_of_signals_restarts_and_changes_overlap(tmp_path):
+    plan = shape.draw(801, 8, CI_SECONDS, series=True)
+    report = asyncio.run(runner.run_seed(plan, tmp_path))
+    assert report.violations == []
+    assert plan.busy_clients > 0
+    assert int(str(report.figures["SIGHUPs"])) > 4
+
+
 def test_no_process_ends_by_itself_under_limits_and_kills_in_a_short_soak(tmp_path):
     plan = shape.draw(501, 8, CI_SECONDS, kills=True)
     report = asyncio.run(runner.run_seed(plan, tmp_path))
