--- a/tests/dataplane/test_large_requests.py
+++ b/tests/dataplane/test_large_requests.py
@@ -1,4 +1,4 @@
-"""Large requests on real sockets: sent to their origin while they arrive, once, and reset if they end early."""
+"""Large requests on real sockets: sent to their origin while they arrive, once; reset if they end early."""
 
 import asyncio
 
