--- a/tests/mutation/run_mutations.py
+++ b/tests/mutation/run_mutations.py
@@ -19,6 +19,7 @@
 import departure_mutations
 import direct_edge_mutations
 import http_mutations
+import passing_on_mutations
 import shutdown_mutations
 import state_mutations
 
@@ -33,6 +34,7 @@
     + departure_mutations.MUTATIONS
     + shutdown_mutations.MUTATIONS
     + http_mutations.MUTATIONS
+    + passing_on_mutations.MUTATIONS
 )
 
 
