--- a/tests/dataplane/test_fair_turns.py
+++ b/tests/dataplane/test_fair_turns.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import sanic.http
 import test_listener
 
 from irisstand.http1 import chunked_coding
@@ -17,14 +18,23 @@
         await asyncio.sleep(0)
 
 
+async def connection_that_has_read(harness, has_head):
+    """Return the listener's connection once it waits for the body of a request, or for a request."""
+    wanted = sanic.http.Stage.HANDLER if has_head else sanic.http.Stage.IDLE
+    while True:
+        for protocol in harness.listener.server.connections:
+            if protocol.http is not None and protocol.http.stage is wanted:
+                return protocol
+        await asyncio.sleep(0.01)
+
+
 def most_bytes_in_a_turn(head, waiting, responses):
     """Return how many bytes of a full buffer the listener works off before other tasks have a turn."""
 
     async def scenario(harness):
         reader, writer = await harness.connect()
         writer.write(head)
-        await asyncio.sleep(0.1)
-        protocol = next(iter(harness.listener.server.connections))
+        protocol = await connection_that_has_read(harness, bool(head))
         sizes = []
         watcher = asyncio.get_running_loop().create_task(watch_buffer(protocol, sizes))
         await asyncio.sleep(0)
--- a/tests/dataplane/test_freed_requests.py
+++ b/tests/dataplane/test_freed_requests.py
@@ -59,7 +59,9 @@
             with contextlib.suppress(errors.IrisError):
                 await harness.ask(path, method, f"r{number}", BODY, x_remaining_ms="150")
         # A write that may have been sent is carried on for a second after its deadline.
-        await asyncio.sleep(1.3 if "writes" in path else 0.3)
+        while len(harness.direct_node.origins.attempts):  # noqa: ASYNC110 - no event tells
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
         return alive_requests()
 
     gc.collect()
--- a/tests/dataplane/test_hedged_responses.py
+++ b/tests/dataplane/test_hedged_responses.py
@@ -20,8 +20,10 @@
     async def scenario():
         harness = direct_edge.DirectNodeHarness()
 
+        is_answered = asyncio.Event()
+
         async def respond_late(request_id):
-            await asyncio.sleep(0.4)
+            await is_answered.wait()
             return direct_edge.complete_answer(request_id, LATE_BODY)
 
         def respond(key, headers, body):
@@ -31,7 +33,9 @@
 
         harness.respond = respond
         answer = await harness.ask("/reads/1")
-        await asyncio.sleep(0.4)
+        is_answered.set()
+        while len(harness.direct_node.origins.attempts):  # noqa: ASYNC110 - no event tells
+            await asyncio.sleep(0.01)
         return answer.body, len(harness.sent), len(alive_late_answers())
 
     gc.collect()
--- a/tests/transport/test_unread_responses.py
+++ b/tests/transport/test_unread_responses.py
@@ -27,6 +27,17 @@
         return await super().listen(address, accept)
 
 
+class LargeResponses:
+    """A handler with large responses, which keeps the bodies of the requests that it has answered."""
+
+    def __init__(self):
+        self.bodies = []
+
+    async def __call__(self, sender, body):
+        self.bodies.append(body)
+        return b"x" * RESPONSE_BYTES
+
+
 def run_with_peer(scenario, budget_bytes):
     """Run `scenario(server, stream, net)` with a peer that has said hello over `stream`."""
 
@@ -38,10 +49,7 @@
             budget_bytes, 10, asyncio.get_running_loop().time, process_counters
         )
 
-        async def respond(sender, body):
-            return b"x" * RESPONSE_BYTES
-
-        server.handlers["large"] = respond
+        server.handlers["large"] = LargeResponses()
         await server.open(("127.0.0.1", 0))
         address = server.listener.sockets[0].getsockname()
         stream = await network.RealNetwork().connect(address)
@@ -66,7 +74,10 @@
 
 def test_responses_that_a_peer_does_not_read_are_not_written():
     async def scenario(server, stream, net):
-        await asyncio.sleep(0.3)
+        handled = server.handlers["large"].bodies
+        while len(handled) < REQUESTS:  # noqa: ASYNC110 - no event tells
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
         (accepted,) = net.accepted
         return accepted.writer.transport.get_write_buffer_size(), server.budget.held
 
