--- a/src/irisstand/cli/develop.py
+++ b/src/irisstand/cli/develop.py
@@ -118,7 +118,7 @@
 @click.option("--first", type=int, default=1, help="Seed of the first run.")
 @click.option("--runs", type=click.IntRange(1), default=1, help="How many runs; each has the next seed.")
 @click.option("--edges", type=click.IntRange(2, 300), help="How many edges.", show_default="random")
-@click.option("--seconds", type=click.FloatRange(5, 3600), default=60, help="Seconds of load in a run.")
+@click.option("--seconds", type=click.FloatRange(5, 3600), default=60, help="Length of a run, in seconds.")
 @click.option("--kills", is_flag=True, help="Kill processes, too; some lose their disks.")
 @click.option("--series", is_flag=True, help="Add overlapping series of signals, restarts and changes.")
 @folder_option
--- a/src/irisstand/dataplane/upstream/exchange.py
+++ b/src/irisstand/dataplane/upstream/exchange.py
@@ -46,6 +46,7 @@
         # Whether the connection has carried a request: later bytes may be a surplus response to that request.
         self.is_used = False
         self.transport: asyncio.Transport | None = None
+        self.is_paused = False
         self.can_write = asyncio.Event()
         self.can_write.set()
         self.sender: request_sender.RequestSender | None = None
@@ -95,11 +96,13 @@
     def pause_reading(self) -> None:
         """Stop reading from the origin."""
         if self.transport is not None and not self.transport.is_closing():
+            self.is_paused = True
             self.transport.pause_reading()
 
     def resume_reading(self) -> None:
-        """Read on from the origin."""
-        if self.transport is not None and not self.transport.is_closing():
+        """Read on from the origin if reading is paused."""
+        if self.is_paused and self.transport is not None and not self.transport.is_closing():
+            self.is_paused = False
             self.transport.resume_reading()
 
     # -- callbacks of the transport ------------------------------------------------------------------
