--- a/src/irisstand/dataplane/upstream/attempts.py
+++ b/src/irisstand/dataplane/upstream/attempts.py
@@ -12,6 +12,7 @@
 from irisstand.dataplane.upstream import (
     exchange,
     origin_endpoint,
+    response_classifier,
     response_stream,
     streamed_body,
     upstream_request,
@@ -24,16 +25,8 @@
 LATE_ANSWER_SECONDS = 0.1
 # How long an attempt that may not be withdrawn goes on after the deadline of its request.
 CARRIED_ON_SECONDS = 1.0
-# How long an endpoint that refused to run a request gets no further request.
-REFUSAL_PAUSE_SECONDS = 0.05
-# Clients take these statuses to mean that the request has not run. They are only passed on from an origin
-# that also sets the header that says so.
-NOT_RUN_STATUSES = (408, 421, 429, 503)
-MISDIRECTED_STATUS = 421
-BAD_REQUEST_STATUS = 400
-FIRST_REDIRECT_STATUS = 300
 
-Result = events.ResponseReceived[exchange.Answer] | events.AttemptFailed
+Result = response_classifier.Result
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -134,6 +127,7 @@
     def __init__(self, context: node_context.NodeContext, names: header_names.HeaderNames) -> None:
         self.context = context
         self.header_names = names
+        self.classifier = response_classifier.ResponseClassifier(context, names)
 
     async def run(self, attempt: Attempt) -> Result:
         """Send one attempt after its delay, and return its result."""
@@ -154,7 +148,7 @@
             if not attempt.connection.is_used:
                 attempt.check_again()
             answer = await self.send(attempt.connection, attempt, number, request_id)
-            result = self.classify(endpoint, answer, request_id)
+            result = self.classifier.classify(endpoint, answer, request_id)
             endpoint.note_answered(number)
             is_passing_on = self.begin_passing_on(attempt, number, answer, result)
         except (OSError, TimeoutError, ValueError, errors.IrisError) as error:
@@ -215,35 +209,3 @@
         retry_policy = attempt.retry_policy
         is_withdrawn = retry_policy.may_withdraw(may_have_sent=True)
         return retry_policy.remaining() + (LATE_ANSWER_SECONDS if is_withdrawn else CARRIED_ON_SECONDS)
-
-    def classify(
-        self, endpoint: origin_endpoint.Endpoint, answer: exchange.Answer, request_id: str
-    ) -> Result:
-        """Classify an origin's complete response as the result of the attempt or as a failure."""
-        names, instance = self.header_names, endpoint.instance
-        if answer.status == MISDIRECTED_STATUS:
-            # Another instance has taken over the address: it gets no request until the origin list names it.
-            endpoint.mark_down("another instance answers")
-            error = errors.NoOriginError(
-                f"origin {instance} is not at its address any more: another instance answers there",
-                retry_after=0.2,
-            )
-            return events.AttemptFailed(error, instance, may_have_run=False)
-        if names.not_run in answer.headers and answer.status in (*NOT_RUN_STATUSES, BAD_REQUEST_STATUS):
-            endpoint.paused_until = self.context.clock.now() + REFUSAL_PAUSE_SECONDS
-            full = errors.LimitExceededError(
-                f"origin {instance} refused the request without running it", retry_after=0.15
-            )
-            return events.AttemptFailed(full, instance, may_have_run=False)
-        if answer.status in NOT_RUN_STATUSES:
-            text = f"origin {instance} answered with status {answer.status} and may have run the request"
-            return events.AttemptFailed(errors.OriginFailedError(text), instance)
-        if request_id and answer.headers.get(names.request_id) != request_id:
-            unnamed = errors.ResponseIntegrityError("the origin's response does not bear the request's id")
-            return events.AttemptFailed(unnamed, instance)
-        if answer.status < FIRST_REDIRECT_STATUS and names.digest not in answer.headers:
-            missing_digest = errors.ResponseIntegrityError(
-                "the origin's response lacks the digest header that confirms it"
-            )
-            return events.AttemptFailed(missing_digest, instance)
-        return events.ResponseReceived(answer, instance)
--- /dev/null
+++ b/src/irisstand/dataplane/upstream/response_classifier.py
@@ -0,0 +1,62 @@
+"""Classifies an origin's complete response as the result of an attempt, or as its failure."""
+
+from irisstand import errors, node_context
+from irisstand.dataplane.http import header_names
+from irisstand.dataplane.retry import events
+from irisstand.dataplane.upstream import exchange, origin_endpoint
+
+# How long an endpoint that refused to run a request gets no further request.
+REFUSAL_PAUSE_SECONDS = 0.05
+# Clients take these statuses to mean that the request has not run. They are only passed on from an origin
+# that also sets the header that says so.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+MISDIRECTED_STATUS = 421
+BAD_REQUEST_STATUS = 400
+FIRST_REDIRECT_STATUS = 300
+
+Result = events.ResponseReceived[exchange.Answer] | events.AttemptFailed
+
+
+class ResponseClassifier:
+    """Decides what a response means for the attempt that it belongs to.
+
+    Args:
+        context: The node's context.
+        names: The names of the headers between this node and origins.
+    """
+
+    def __init__(self, context: node_context.NodeContext, names: header_names.HeaderNames) -> None:
+        self.context = context
+        self.header_names = names
+
+    def classify(
+        self, endpoint: origin_endpoint.Endpoint, answer: exchange.Answer, request_id: str
+    ) -> Result:
+        """Classify an origin's complete response as the result of the attempt or as a failure."""
+        names, instance = self.header_names, endpoint.instance
+        if answer.status == MISDIRECTED_STATUS:
+            # Another instance has taken over the address: it gets no request until the origin list names it.
+            endpoint.mark_down("another instance answers")
+            error = errors.NoOriginError(
+                f"origin {instance} is not at its address any more: another instance answers there",
+                retry_after=0.2,
+            )
+            return events.AttemptFailed(error, instance, may_have_run=False)
+        if names.not_run in answer.headers and answer.status in (*NOT_RUN_STATUSES, BAD_REQUEST_STATUS):
+            endpoint.paused_until = self.context.clock.now() + REFUSAL_PAUSE_SECONDS
+            full = errors.LimitExceededError(
+                f"origin {instance} refused the request without running it", retry_after=0.15
+            )
+            return events.AttemptFailed(full, instance, may_have_run=False)
+        if answer.status in NOT_RUN_STATUSES:
+            text = f"origin {instance} answered with status {answer.status} and may have run the request"
+            return events.AttemptFailed(errors.OriginFailedError(text), instance)
+        if request_id and answer.headers.get(names.request_id) != request_id:
+            unnamed = errors.ResponseIntegrityError("the origin's response does not bear the request's id")
+            return events.AttemptFailed(unnamed, instance)
+        if answer.status < FIRST_REDIRECT_STATUS and names.digest not in answer.headers:
+            missing_digest = errors.ResponseIntegrityError(
+                "the origin's response lacks the digest header that confirms it"
+            )
+            return events.AttemptFailed(missing_digest, instance)
+        return events.ResponseReceived(answer, instance)
--- a/tests/mutation/direct_edge_mutations.py
+++ b/tests/mutation/direct_edge_mutations.py
@@ -9,19 +9,19 @@
         "dataplane/test_direct_edge.py",
     ),
     (
-        "dataplane/upstream/attempts.py",
+        "dataplane/upstream/response_classifier.py",
         "        if answer.status in NOT_RUN_STATUSES:\n",
         "        if False:\n",
         "dataplane/test_direct_edge.py",
     ),
     (
-        "dataplane/upstream/attempts.py",
+        "dataplane/upstream/response_classifier.py",
         "        if request_id and answer.headers.get(names.request_id) != request_id:",
         "        if False:",
         "dataplane/test_direct_edge.py",
     ),
     (
-        "dataplane/upstream/attempts.py",
+        "dataplane/upstream/response_classifier.py",
         "        if answer.status < FIRST_REDIRECT_STATUS and names.digest not in answer.headers:",
         "        if False:",
         "dataplane/test_direct_edge.py",
