Observability: which response of an origin was taken, skipped or refused, and when a copy was fetched

The setting printed_events writes kinds of events at once; until now the event log came only at a stop, a crash or on request. The connection keeps hashes of the ids that it has carried; nothing is decided by them yet. Logic is unchanged.

--- a/src/irisstand/dataplane/cache/object_reader.py
+++ b/src/irisstand/dataplane/cache/object_reader.py
@@ -6,7 +6,7 @@
 import functools
 import typing
 
-from irisstand import errors, node_context
+from irisstand import errors, event_log, node_context
 from irisstand.dataplane.cache import object_cache, object_lookup, objects, request_coalescer, stored_body
 from irisstand.dataplane.http import header_names
 from irisstand.dataplane.retry import freshness_policy
@@ -188,10 +188,28 @@
         ttl = lookup.route.cache_life
         if answer.status == STATUS_NOT_MODIFIED and cached is not None and cached_etag:
             self.context.counters.add("cache", at=self.context.role, result="revalidated")
-            return cached._replace(applied=applied, age=0.0, as_of=sent_at, ttl=ttl)
-        if answer.status != STATUS_OK or "set-cookie" in answer.headers:
-            ttl = 0.0
-        return self.object_from(answer, applied, sent_at, ttl)
+            fetched = cached._replace(applied=applied, age=0.0, as_of=sent_at, ttl=ttl)
+        else:
+            if answer.status != STATUS_OK or "set-cookie" in answer.headers:
+                ttl = 0.0
+            fetched = self.object_from(answer, applied, sent_at, ttl)
+        self.record_fetched(lookup, answer.status, fetched)
+        return fetched
+
+    def record_fetched(
+        self, lookup: object_lookup.ObjectLookup, status: int, fetched: objects.CachedObject
+    ) -> None:
+        """Record when and at which version a copy was fetched, under the id of which request."""
+        event_log.record(
+            "copy-fetched",
+            key=lookup.key,
+            request_id=lookup.request.headers.get(self.header_names.request_id, ""),
+            status=status,
+            sent_at=fetched.as_of,
+            applied=str(fetched.applied),
+            etag=object_lookup.etag_of(fetched) or "",
+            ttl=fetched.ttl,
+        )
 
     def object_from(
         self, answer: exchange.Answer, applied: versions.Version, sent_at: float, ttl: float
--- a/src/irisstand/dataplane/nodes/direct.py
+++ b/src/irisstand/dataplane/nodes/direct.py
@@ -19,6 +19,7 @@
     connector,
     endpoint_pool,
     exchange,
+    response_reports,
     response_stream,
     upstream_request,
 )
@@ -111,7 +112,8 @@
 def network_connector(context: node_context.NodeContext) -> connector.Connect:
     """Return the function that opens network connections to origins, with the configured header names."""
     names = header_names.REGISTRY[context.settings.vocabulary]
-    return connector.connector(names.request_id, context.budget)
+    report = response_reports.recorder(context.counters)
+    return connector.connector(names.request_id, context.budget, report)
 
 
 def create(
--- a/src/irisstand/dataplane/upstream/attempts.py
+++ b/src/irisstand/dataplane/upstream/attempts.py
@@ -6,7 +6,7 @@
 import dataclasses
 import functools
 
-from irisstand import errors, node_context, transfer_speed
+from irisstand import errors, event_log, node_context, transfer_speed
 from irisstand.dataplane.http import header_names
 from irisstand.dataplane.retry import attempt_policy, events, forwarding_policy
 from irisstand.dataplane.upstream import (
@@ -41,6 +41,7 @@
         delay_seconds: How long to wait for a token of the rate limit before sending.
         check_again: Raises an IrisError if, after a wait, the endpoint may not be used any more.
         is_anonymous: Whether the client's request id is left out of the headers.
+        is_copied: Whether the response becomes a copy of an object, for other clients too.
         transfer_limit: How many large bodies may be passed on to and from the endpoint at a time.
         connection: The connection that carries the request; None until one is acquired.
     """
@@ -52,6 +53,7 @@
     delay_seconds: float
     check_again: collections.abc.Callable[[], None]
     is_anonymous: bool
+    is_copied: bool
     transfer_limit: int
     connection: exchange.Exchange | None = None
 
@@ -147,9 +149,11 @@
             # A new connection took time to open, and the configuration may have changed meanwhile.
             if not attempt.connection.is_used:
                 attempt.check_again()
+            is_repeated_id = attempt.connection.history.has_carried(request_id)
             answer = await self.send(attempt.connection, attempt, number, request_id)
             result = self.classifier.classify(endpoint, answer, request_id)
             endpoint.note_answered(number)
+            self.record_taken(attempt, attempt.connection, answer, is_repeated_id=is_repeated_id)
             is_passing_on = self.begin_passing_on(attempt, number, answer, result)
         except (OSError, TimeoutError, ValueError, errors.IrisError) as error:
             may_have_sent = attempt.may_have_sent
@@ -166,6 +170,27 @@
             if not is_passing_on:
                 end_attempt(attempt, number)
 
+    def record_taken(
+        self,
+        attempt: Attempt,
+        connection: exchange.Exchange,
+        answer: exchange.Answer,
+        *,
+        is_repeated_id: bool,
+    ) -> None:
+        """Record on which connection the response came that becomes a copy of an object."""
+        if not attempt.is_copied:
+            return
+        event_log.record(
+            "response-taken",
+            origin=attempt.endpoint.instance,
+            local_port=connection.local_port,
+            request_id=attempt.request.headers.get(self.header_names.request_id, ""),
+            anonymous=attempt.is_anonymous,
+            status=answer.status,
+            repeated_id=is_repeated_id,
+        )
+
     def begin_passing_on(
         self, attempt: Attempt, number: int, answer: exchange.Answer, result: Result
     ) -> bool:
--- a/src/irisstand/dataplane/upstream/client.py
+++ b/src/irisstand/dataplane/upstream/client.py
@@ -159,6 +159,7 @@
             delay,
             check_again,
             is_anonymous=is_anonymous,
+            is_copied=is_read,
             transfer_limit=self.endpoints.selector.transfer_limit(endpoint, upstream),
         )
         call.running[self.attempts.start(self.sender.run(attempt))] = attempt
--- a/src/irisstand/dataplane/upstream/exchange.py
+++ b/src/irisstand/dataplane/upstream/exchange.py
@@ -13,9 +13,11 @@
 
 from irisstand import errors, resource_budget
 from irisstand.dataplane.upstream import (
+    connection_history,
     connection_state,
     request_sender,
     response_reader,
+    response_reports,
     streamed_body,
     transport_reset,
     upstream_request,
@@ -39,12 +41,16 @@
     `may_have_sent` is set just before a byte of a request may be sent; the connection's owner clears it.
     """
 
-    def __init__(self, id_header: str, budget: resource_budget.ResourceBudget | None = None) -> None:
-        self.reader = response_reader.ResponseReader(id_header, self, budget)
+    def __init__(
+        self,
+        id_header: str,
+        budget: resource_budget.ResourceBudget | None = None,
+        report: response_reports.Report = response_reports.ignore,
+    ) -> None:
+        self.reader = response_reader.ResponseReader(id_header, self, budget, report)
         self.state = connection_state.ConnectionState.OPEN
         self.may_have_sent = False
-        # Whether the connection has carried a request: later bytes may be a surplus response to that request.
-        self.is_used = False
+        self.history = connection_history.ConnectionHistory()
         self.transport: asyncio.Transport | None = None
         self.is_paused = False
         self.can_write = asyncio.Event()
@@ -54,11 +60,22 @@
         self.idle_limit_seconds = IDLE_DEFAULT_SECONDS
         self.idle_since = asyncio.get_running_loop().time()
 
+    @property
+    def is_used(self) -> bool:
+        """Whether the connection has carried a request: later bytes may be a surplus response to that one."""
+        return self.history.carried_count > 0
+
     @property
     def is_open(self) -> bool:
         """Whether the connection may carry another request, as far as is known."""
         return self.state is connection_state.ConnectionState.OPEN
 
+    @property
+    def local_port(self) -> int:
+        """The port of this node's end of the connection; 0 if it is not known."""
+        address = None if self.transport is None else self.transport.get_extra_info("sockname")
+        return address[1] if isinstance(address, tuple) else 0
+
     @property
     def is_waiting(self) -> bool:
         """Whether a request waits for its response."""
@@ -114,11 +131,13 @@
         """Parse the next bytes of a response."""
         # No request waits for a response, so these bytes belong to none.
         if not self.is_waiting and not self.reader.is_streaming:
+            self.reader.report_refusal(response_reports.RefusalReason.NO_REQUEST)
             self.end(None)
             return
         try:
             self.reader.feed(data)
         except (httptools.HttpParserError, ValueError) as error:
+            self.reader.report_refusal(self.reader.refusal_reason)
             text = f"the origin sent bytes that are no valid response: {type(error).__name__}"
             self.end(ConnectionBrokenError(text))
 
@@ -195,7 +214,7 @@
             raise ConnectionBrokenError("the connection was closed before the request could be sent")
         self.waiting = asyncio.get_running_loop().create_future()
         self.may_have_sent = True
-        self.is_used = True
+        self.history.add(request_id)
         try:
             self._write(self.transport, head, body)
             return await self.waiting
--- a/src/irisstand/dataplane/upstream/response_reader.py
+++ b/src/irisstand/dataplane/upstream/response_reader.py
@@ -5,7 +5,12 @@
 import httptools
 
 from irisstand import resource_budget
-from irisstand.dataplane.upstream import response_budget, response_framing, response_stream
+from irisstand.dataplane.upstream import (
+    response_budget,
+    response_framing,
+    response_reports,
+    response_stream,
+)
 from irisstand.http1 import body_source, grammar
 
 # How many responses that bear the id of another request are skipped before the connection is closed.
@@ -43,6 +48,11 @@
         """Note that the connection cannot carry another request."""
         ...
 
+    @property
+    def local_port(self) -> int:
+        """The port of this node's end of the connection; 0 if it is not known."""
+        ...
+
 
 class ResponseReader:
     """Reads the response to one request at a time; it must bear the request's id.
@@ -51,6 +61,7 @@
         id_header: The header in which responses bear the id of their request.
         receiver: The connection.
         budget: The budget of the process; None if responses do not count.
+        report: Gets the responses that are not taken.
 
     Attributes:
         headers: The headers of the newest response.
@@ -58,8 +69,13 @@
     """
 
     def __init__(
-        self, id_header: str, receiver: Receiver, budget: resource_budget.ResourceBudget | None
+        self,
+        id_header: str,
+        receiver: Receiver,
+        budget: resource_budget.ResourceBudget | None,
+        report: response_reports.Report,
     ) -> None:
+        self.report = report
         self.id_header = id_header
         self.receiver = receiver
         self.process_budget = budget
@@ -76,6 +92,8 @@
         self.headers: dict[str, str] = {}
         self.body = bytearray()
         self.stream: response_stream.ResponseStream | None = None
+        # Why the response is refused, if it is refused now.
+        self.refusal_reason = response_reports.RefusalReason.MALFORMED
 
     @property
     def is_streaming(self) -> bool:
@@ -149,7 +167,9 @@
         if self.is_surplus():
             # This is a late response to an earlier request.
             self.surplus_count += 1
+            self._report(response_reports.ResponseFate.SKIPPED, response_reports.RefusalReason.OTHER_ID)
             if self.surplus_count > SURPLUS_LIMIT:
+                self.refusal_reason = response_reports.RefusalReason.TOO_MANY
                 raise ValueError("too many responses bear the ids of other requests")
             return
         self.check_request()
@@ -159,10 +179,32 @@
         self.budget.hand_over(body)
         self.receiver.deliver(Answer(self.parser.get_status_code(), self.headers, body))
 
+    # -- reports -------------------------------------------------------------------------------------
+    def report_refusal(self, reason: response_reports.RefusalReason) -> None:
+        """Report that a response, or bytes that belong to none, closed the connection."""
+        self._report(response_reports.ResponseFate.REFUSED, reason)
+
+    def _report(self, fate: response_reports.ResponseFate, reason: response_reports.RefusalReason) -> None:
+        has_head = reason in response_reports.REASONS_WITH_HEAD
+        self.report(
+            response_reports.ResponseReport(
+                fate,
+                reason,
+                self.receiver.local_port,
+                self.request_id if self.receiver.is_waiting else "",
+                (self.found_id() or "") if has_head else "",
+                self.parser.get_status_code() if has_head else 0,
+            )
+        )
+
     # -- ids and streams -----------------------------------------------------------------------------
+    def found_id(self) -> str | None:
+        """Return the id that the response bears; None if it bears none."""
+        return self.headers.get(self.id_header)
+
     def is_surplus(self) -> bool:
         """Return whether the response bears the id of another request."""
-        found = self.headers.get(self.id_header)
+        found = self.found_id()
         return found is not None and found != self.request_id
 
     def check_request(self) -> None:
@@ -173,9 +215,11 @@
         Raises:
             ValueError: The response may be for another request.
         """
-        found = self.headers.get(self.id_header)
+        found = self.found_id()
         is_for_request = self.is_first_request if found is None else found == self.request_id
         if not is_for_request:
+            reasons = response_reports.RefusalReason
+            self.refusal_reason = reasons.NO_ID if found is None else reasons.OTHER_ID
             raise ValueError("the response does not bear the id of the request")
 
     def begin_stream(self, length: int | None) -> None:
--- a/src/irisstand/event_log.py
+++ b/src/irisstand/event_log.py
@@ -1,6 +1,7 @@
 """The event log: the newest events in memory, written out after a crash, at shutdown and on request."""
 
 import collections
+import collections.abc
 import json
 import sys
 import typing
@@ -17,15 +18,25 @@
     Attributes:
         events: The newest events, oldest first.
         target: The text stream that `write_out` writes to; standard error by default.
+        printed_kinds: The kinds of the events that are also written at once.
     """
 
-    def __init__(self, size: int = EVENTS_LIMIT, target: typing.TextIO | None = None) -> None:
+    def __init__(
+        self,
+        size: int = EVENTS_LIMIT,
+        target: typing.TextIO | None = None,
+        printed_kinds: collections.abc.Collection[str] = (),
+    ) -> None:
         self.events: collections.deque[Event] = collections.deque(maxlen=size)
         self.target = target or sys.stderr
+        self.printed_kinds = printed_kinds
 
     def __call__(self, message: Event) -> None:
         """Keep one event; drop the oldest event if the log is full."""
         self.events.append(message)
+        if message.get("message_type") in self.printed_kinds:
+            self.target.write(json.dumps(message, default=str) + "\n")
+            self.target.flush()
 
     def attach(self) -> None:
         """Register this log with eliot, so that it receives all further events of this process."""
--- a/src/irisstand/node_settings.py
+++ b/src/irisstand/node_settings.py
@@ -51,6 +51,7 @@
     holder_edges: float = 5.0
     memory_bytes: int = 0
     descriptors: int = 0
+    printed_events: tuple[str, ...] = ()
 
 
 # The settings by name; the flag of a setting is its name with dashes.
--- a/src/irisstand/process_runner.py
+++ b/src/irisstand/process_runner.py
@@ -87,7 +87,7 @@
     """Run a node until a signal stops it or it crashes; return the exit code."""
     standard_streams.bound_waiting()
     memory_reservations.limit()
-    log = event_log.EventLog()
+    log = event_log.EventLog(printed_kinds=settings.printed_events)
     log.attach()
     try:
         return uvloop.run(serve(settings, assemble, log, read_settings))
--- a/src/irisstand/setting_parsers.py
+++ b/src/irisstand/setting_parsers.py
@@ -120,3 +120,13 @@
     """Return the region of each site in a text that `parse_region_pairs` accepted."""
     pairs = [entry.split("=") for entry in value.split(",") if entry]
     return {site: region for site, region in pairs}
+
+
+def parse_names(value: typing.Any) -> tuple[str, ...]:
+    """Parse names from a list or from comma-separated text.
+
+    >>> parse_names("copy-fetched, swim")
+    ('copy-fetched', 'swim')
+    """
+    given = value.split(",") if isinstance(value, str) else list(value)
+    return tuple(parse_name(entry.strip()) for entry in given if entry)
--- a/src/irisstand/setting_registry.py
+++ b/src/irisstand/setting_registry.py
@@ -130,4 +130,8 @@
         setting_parsers.number_between(0, 1 << 30, int),
         "file descriptors that this process may open; 0 for what the system allows",
     ),
+    "printed_events": Setting(
+        setting_parsers.parse_names,
+        "kinds of log events to write to standard error at once, separated by commas",
+    ),
 }
--- a/tests/dataplane/test_decisions_after_waits.py
+++ b/tests/dataplane/test_decisions_after_waits.py
@@ -35,7 +35,7 @@
 def keep_connection(harness, endpoint):
     """Give an endpoint an idle connection that has carried a request, so that none has to be opened."""
     connection = direct_edge.ScriptedConnection(harness, endpoint.instance)
-    connection.is_used = True
+    connection.history.add("earlier")
     endpoint.idle.append(connection)
 
 
--- a/tests/support/direct_edge.py
+++ b/tests/support/direct_edge.py
@@ -7,7 +7,7 @@
 from irisstand import clocks, errors, node_context, node_settings
 from irisstand.dataplane.nodes import direct
 from irisstand.dataplane.routing import configuration_view
-from irisstand.dataplane.upstream import exchange
+from irisstand.dataplane.upstream import connection_history, exchange
 from irisstand.membership import updates
 from irisstand.simulator import virtual_time
 from irisstand.state import items, versions
@@ -44,7 +44,12 @@
 
     def __init__(self, harness, key):
         self.harness, self.key = harness, key
-        self.is_open, self.may_have_sent, self.is_used = True, False, False
+        self.is_open, self.may_have_sent = True, False
+        self.history, self.local_port = connection_history.ConnectionHistory(), 0
+
+    @property
+    def is_used(self):
+        return self.history.carried_count > 0
 
     def is_usable(self):
         return self.is_open
@@ -53,7 +58,8 @@
         self.is_open = False
 
     async def send(self, method, target, headers, body, request_id):
-        self.may_have_sent = self.is_used = True
+        self.may_have_sent = True
+        self.history.add(request_id)
         sent = dict(headers)
         self.harness.sent.append((self.key, method, target.decode(), sent, asyncio.get_running_loop().time()))
         outcome = self.harness.respond(self.key, sent, body)
