--- /dev/null
+++ b/tests/dataplane/test_late_responses.py
@@ -0,0 +1,94 @@
+"""Origins that answer twice: each caller gets its own whole response, and no copy is older than its purge."""
+
+import asyncio
+
+import pytest
+import stuttering_edge
+
+from irisstand import errors
+from irisstand.emulators import object_records, stuttering_origin
+
+PATH = "/objects/1"
+KINDS = stuttering_origin.SurplusKind
+# Sent in the place of the next response on the connection.
+IN_PLACE_OF_NEXT = None
+
+
+def surplus(kind, count=1):
+    return [stuttering_origin.Surplus(kind, IN_PLACE_OF_NEXT)] * count
+
+
+def read_purged_in_flight(*surplus, is_cached):
+    """Return the bodies of a read that is purged in flight, and of one half a second later."""
+
+    async def scenario(edge):
+        if is_cached:
+            await edge.ask(PATH, request_id="r0")
+            edge.purge(PATH)
+        bodies = [(await edge.ask_while_purged(PATH, "r1")).body]
+        await asyncio.sleep(0.5)
+        bodies.append((await edge.ask(PATH, request_id="r2")).body)
+        return bodies, object_records.object_body(PATH, edge.records.version(PATH))
+
+    return stuttering_edge.run_scenario(scenario, *surplus)
+
+
+@pytest.mark.parametrize("is_cached", [False, True])
+def test_purged_object_is_not_served_from_a_late_response_to_the_fetch_before(is_cached):
+    """Guards against STALE: the late response passes for that to the fetch after the purge."""
+    bodies, newest = read_purged_in_flight(*surplus(KINDS.SAME), is_cached=is_cached)
+    assert bodies == [newest, newest]
+
+
+@pytest.mark.parametrize("count", [1, 3])
+@pytest.mark.parametrize("is_cached", [False, True])
+def test_no_caller_gets_the_body_of_a_late_response(is_cached, count):
+    """Guards against MIXED: a body that is not the origin's for the object, to the caller and to others."""
+    bodies, newest = read_purged_in_flight(*surplus(KINDS.OTHER_BODY, count), is_cached=is_cached)
+    assert bodies == [newest, newest]
+
+
+@pytest.mark.parametrize("is_cached", [False, True])
+def test_late_304_does_not_confirm_a_purged_copy(is_cached):
+    bodies, newest = read_purged_in_flight(*surplus(KINDS.NOT_MODIFIED), is_cached=is_cached)
+    assert bodies == [newest, newest]
+
+
+@pytest.mark.parametrize("kind", [KINDS.WITHOUT_ID, KINDS.NOT_RUN])
+def test_late_refusal_or_response_without_an_id_does_not_end_a_fetch(kind):
+    bodies, newest = read_purged_in_flight(*surplus(kind), is_cached=False)
+    assert bodies == [newest, newest]
+
+
+def test_late_refusal_under_an_id_that_comes_again_is_not_taken_for_the_second_write():
+    """Guards against REFUSED and TWICE: a write that runs is refused with a late "did not run"."""
+
+    async def scenario(edge):
+        await edge.ask("/writes/1", "POST", request_id="r1")
+        try:
+            status = (await edge.ask("/writes/1", "POST", request_id="r1")).status
+        except errors.IrisError as error:
+            status = error.status
+        return status, edge.records.runs("r1")
+
+    assert stuttering_edge.run_scenario(scenario, *surplus(KINDS.NOT_RUN)) == (200, 2)
+
+
+def test_stuttering_origin_costs_no_further_connection_while_no_id_comes_again():
+    async def scenario(edge):
+        answers = [await edge.ask(f"/reads/{number}", request_id=f"r{number}") for number in range(4)]
+        return [answer.body for answer in answers], edge.connections.total()
+
+    bodies, connections = stuttering_edge.run_scenario(scenario, *surplus(KINDS.OTHER_BODY))
+    assert bodies == [f"/reads/{number} run for r{number}".encode() for number in range(4)]
+    # The fourth surplus response is the one over the limit of a connection.
+    assert connections == 1
+
+
+def test_object_that_is_purged_in_flight_costs_one_connection_more_at_the_most():
+    async def scenario(edge):
+        for number in range(5):
+            await edge.ask_while_purged(PATH, f"r{number}")
+        return edge.connections.total()
+
+    assert stuttering_edge.run_scenario(scenario) <= 2
