--- a/src/irisstand/dataplane/upstream/exchange.py
+++ b/src/irisstand/dataplane/upstream/exchange.py
@@ -15,6 +15,7 @@
 from irisstand.dataplane.upstream import (
     connection_history,
     connection_state,
+    idle_time,
     request_sender,
     response_reader,
     response_reports,
@@ -22,13 +23,9 @@
     transport_reset,
     upstream_request,
 )
-from irisstand.http1 import keep_alive
 
 # A request with a larger body is sent in two writes, so that the body is not copied.
 JOINED_BODY_BYTES = 64 * 1024
-# An idle connection is discarded this long before the time at which its origin announced to close it.
-IDLE_MARGIN_SECONDS = 1.0
-IDLE_DEFAULT_SECONDS = 4.0
 
 # Raised when a connection ends or brings malformed bytes before the response is complete.
 ConnectionBrokenError = errors.OriginFailedError
@@ -57,8 +54,7 @@
         self.can_write.set()
         self.sender: request_sender.RequestSender | None = None
         self.waiting: asyncio.Future[Answer] | None = None
-        self.idle_limit_seconds = IDLE_DEFAULT_SECONDS
-        self.idle_since = asyncio.get_running_loop().time()
+        self.idle_time = idle_time.IdleTime()
 
     @property
     def is_used(self) -> bool:
@@ -166,7 +162,7 @@
         # The end may have come together with so much that reading had stopped.
         self.resume_reading()
         self.update_reuse()
-        self.idle_since = asyncio.get_running_loop().time()
+        self.idle_time.restart()
 
     def update_reuse(self) -> None:
         """Determine from a complete response whether and how long the connection may be reused."""
@@ -178,17 +174,11 @@
             self.stop_reuse()
         if "close" in headers.get("connection", "").lower() or not self.reader.parser.should_keep_alive():
             self.stop_reuse()
-        timeout_seconds = keep_alive.timeout_seconds(headers.get("keep-alive", ""))
-        if timeout_seconds is not None:
-            self.idle_limit_seconds = max(0.0, timeout_seconds - IDLE_MARGIN_SECONDS)
+        self.idle_time.take_limit(headers.get("keep-alive", ""))
 
     def is_usable(self) -> bool:
         """Return whether a request may be sent: the connection is open and not about to time out."""
-        now = asyncio.get_running_loop().time()
-        return (
-            self.state is connection_state.ConnectionState.OPEN
-            and now - self.idle_since < self.idle_limit_seconds
-        )
+        return self.is_open and not self.idle_time.is_over
 
     async def send(
         self,
@@ -225,7 +215,7 @@
         finally:
             self.reader.budget.release()
             self.waiting = None
-            self.idle_since = asyncio.get_running_loop().time()
+            self.idle_time.restart()
 
     def _write(
         self, transport: asyncio.Transport, head: bytes, body: bytes | streamed_body.StreamedBody
--- a/tests/mutation/direct_edge_mutations.py
+++ b/tests/mutation/direct_edge_mutations.py
@@ -46,7 +46,7 @@
     ),
     (
         "dataplane/upstream/exchange.py",
-        "            and now - self.idle_since < self.idle_limit_seconds\n",
+        " and not self.idle_time.is_over",
         "",
         "dataplane/test_exchange.py",
     ),
