Connections to origins: no request id is carried twice on one, so that a late response passes for no other

Callers saw bodies that were not the server's (MIXED), objects older than their purge, from the cache too (STALE), and a write refused with 503 that had run (REFUSED).

Cause, one for all three: the reader of responses tells a late one by its id alone, but an id came again on one connection: an object that is purged or expires in flight is fetched again under the same client's id, and the endpoint hands out the connection that was used last. So the late response to the first fetch was taken for that to the second, and stored as fetched after the purge.

Change: the connection owns the rule. So it holds for every way to an origin: first attempts, fetches that start anew, retries, hedges, revalidations, shared fetches, holders, probes, and ids that clients repeat. Where a connection is opened because of an id, the idle one used least recently is closed if the node would have more than its part of the origin's connections.

A probe has no id, so it now takes a fresh connection.

Price: an object that is purged in flight five times costs one connection more, not five.

--- a/src/irisstand/dataplane/upstream/attempts.py
+++ b/src/irisstand/dataplane/upstream/attempts.py
@@ -42,6 +42,7 @@
         check_again: Raises an IrisError if, after a wait, the endpoint may not be used any more.
         is_anonymous: Whether the client's request id is left out of the headers.
         is_copied: Whether the response becomes a copy of an object, for other clients too.
+        connection_limit: How many connections this node may have to the endpoint.
         transfer_limit: How many large bodies may be passed on to and from the endpoint at a time.
         connection: The connection that carries the request; None until one is acquired.
     """
@@ -54,6 +55,7 @@
     check_again: collections.abc.Callable[[], None]
     is_anonymous: bool
     is_copied: bool
+    connection_limit: int
     transfer_limit: int
     connection: exchange.Exchange | None = None
 
@@ -142,18 +144,16 @@
                 attempt.check_again()
             given_id = attempt.request.headers.get(self.header_names.request_id, "")
             request_id = "" if attempt.is_anonymous else given_id
-            # Without a request id, a surplus response to an earlier request on the same connection could not
-            # be told from the response to this request, so such a request gets a fresh connection.
             timeout = max(MINIMUM_CONNECT_SECONDS, attempt.retry_policy.remaining())
-            attempt.connection = await endpoint.acquire(timeout, is_fresh=not request_id)
+            limit = attempt.connection_limit if request_id else None
+            attempt.connection = await endpoint.acquire(timeout, request_id, limit)
             # A new connection took time to open, and the configuration may have changed meanwhile.
             if not attempt.connection.is_used:
                 attempt.check_again()
-            is_repeated_id = attempt.connection.history.has_carried(request_id)
             answer = await self.send(attempt.connection, attempt, number, request_id)
             result = self.classifier.classify(endpoint, answer, request_id)
             endpoint.note_answered(number)
-            self.record_taken(attempt, attempt.connection, answer, is_repeated_id=is_repeated_id)
+            self.record_taken(attempt, attempt.connection, answer)
             is_passing_on = self.begin_passing_on(attempt, number, answer, result)
         except (OSError, TimeoutError, ValueError, errors.IrisError) as error:
             may_have_sent = attempt.may_have_sent
@@ -170,14 +170,7 @@
             if not is_passing_on:
                 end_attempt(attempt, number)
 
-    def record_taken(
-        self,
-        attempt: Attempt,
-        connection: exchange.Exchange,
-        answer: exchange.Answer,
-        *,
-        is_repeated_id: bool,
-    ) -> None:
+    def record_taken(self, attempt: Attempt, connection: exchange.Exchange, answer: exchange.Answer) -> None:
         """Record on which connection the response came that becomes a copy of an object."""
         if not attempt.is_copied:
             return
@@ -188,7 +181,7 @@
             request_id=attempt.request.headers.get(self.header_names.request_id, ""),
             anonymous=attempt.is_anonymous,
             status=answer.status,
-            repeated_id=is_repeated_id,
+            carried=connection.history.carried_count,
         )
 
     def begin_passing_on(
--- a/src/irisstand/dataplane/upstream/client.py
+++ b/src/irisstand/dataplane/upstream/client.py
@@ -160,6 +160,7 @@
             check_again,
             is_anonymous=is_anonymous,
             is_copied=is_read,
+            connection_limit=self.endpoints.selector.connection_limit(endpoint, upstream),
             transfer_limit=self.endpoints.selector.transfer_limit(endpoint, upstream),
         )
         call.running[self.attempts.start(self.sender.run(attempt))] = attempt
--- a/src/irisstand/dataplane/upstream/endpoint_prober.py
+++ b/src/irisstand/dataplane/upstream/endpoint_prober.py
@@ -59,7 +59,7 @@
         """
         upstream = self.table.upstreams.get(endpoint.origin.service)
         async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
-            connection = await endpoint.acquire(PROBE_TIMEOUT_SECONDS)
+            connection = await endpoint.acquire(PROBE_TIMEOUT_SECONDS, "")
             host = f"{endpoint.origin.host}:{endpoint.origin.port}"
             headers = [("host", host), (self.header_names.expected_instance, endpoint.instance)]
             path = upstream.probe if upstream else "/health"
--- a/src/irisstand/dataplane/upstream/exchange.py
+++ b/src/irisstand/dataplane/upstream/exchange.py
@@ -178,7 +178,7 @@
 
     def is_usable(self) -> bool:
         """Return whether a request may be sent: the connection is open and not about to time out."""
-        return self.is_open and not self.idle_time.is_over
+        return self.is_open and not self.history.is_full and not self.idle_time.is_over
 
     async def send(
         self,
@@ -194,8 +194,11 @@
         carries no other request.
 
         Raises:
+            errors.NotSentError: The connection has carried a request with this id, or one without an id.
             ConnectionBrokenError: No complete response came; `may_have_sent` tells if it may have run.
         """
+        if not self.history.may_carry(request_id):
+            raise errors.NotSentError("a late response on the connection could pass for that to the request")
         head = upstream_request.encode_head(method, target, headers, upstream_request.body_length(body))
         self.reader.begin(method, request_id, is_first=not self.is_used)
         # The transport is closing although `connection_lost` was not called yet; written bytes would be lost.
--- a/src/irisstand/dataplane/upstream/origin_endpoint.py
+++ b/src/irisstand/dataplane/upstream/origin_endpoint.py
@@ -131,23 +131,25 @@
         """Return whether the endpoint is in slow start."""
         return self.origin.state == "cold" or self.context.clock.now() < self.cold_until
 
-    async def acquire(self, timeout_seconds: float, *, is_fresh: bool = False) -> exchange.Exchange:
-        """Return a connection to the endpoint for one request.
+    async def acquire(
+        self, timeout_seconds: float, request_id: str, connection_limit: int | None = None
+    ) -> exchange.Exchange:
+        """Return a connection on which the response to one request can be told from all others.
 
         Args:
             timeout_seconds: The time limit for opening a connection; `CONNECT_TIMEOUT_SECONDS` if that is
                 less.
-            is_fresh: Whether the connection must not have carried a request yet, as a request without an id
-                needs.
+            request_id: The id of the request, which the connection has not carried before; empty if the
+                request has none, and so needs a connection that has carried nothing.
+            connection_limit: How many connections this node may have to the endpoint; None for any number.
 
         Raises:
             NotSentError: No connection could be opened, and the endpoint is now marked as down.
         """
-        while self.idle and not is_fresh:
-            connection = self.idle.pop()
-            if connection.is_usable():
-                return connection
-            connection.close()
+        found = self.take_idle(request_id)
+        if found is not None:
+            return found
+        self.make_room(connection_limit)
         try:
             async with asyncio.timeout(min(CONNECT_TIMEOUT_SECONDS, timeout_seconds)):
                 connection = await self.connect(self.origin.host, self.origin.port)
@@ -157,6 +159,25 @@
         self.context.counters.add("origin_connections", service=self.origin.service)
         return connection
 
+    def take_idle(self, request_id: str) -> exchange.Exchange | None:
+        """Take the idle connection that was used last and may carry a request; None if there is none."""
+        for connection in self.idle[::-1]:
+            if not connection.is_usable():
+                self.idle.remove(connection)
+                connection.close()
+            elif connection.history.may_carry(request_id):
+                self.idle.remove(connection)
+                return connection
+        return None
+
+    def make_room(self, connection_limit: int | None) -> None:
+        """Close the idle connection that was used least recently if one more would exceed the limit."""
+        if connection_limit is None or not self.idle:
+            return
+        # The attempt that needs the connection is in use already.
+        if len(self.idle) + self.connections_in_use() > connection_limit:
+            self.idle.pop(0).close()
+
     def release(self, connection: exchange.Exchange) -> None:
         """Return a connection to the idle ones if it can carry another request; close it otherwise."""
         connection.may_have_sent = False
--- a/tests/mutation/direct_edge_mutations.py
+++ b/tests/mutation/direct_edge_mutations.py
@@ -195,9 +195,9 @@
         "dataplane/test_exchange_hostile_origins.py",
     ),
     (
-        "dataplane/upstream/attempts.py",
-        "is_fresh=not request_id)",
-        "is_fresh=False)",
+        "dataplane/upstream/connection_history.py",
+        "        return bool(request_id) and not self.is_full",
+        "        return not self.is_full",
         "dataplane/test_exchange_hostile_origins.py",
     ),
     (
--- /dev/null
+++ b/tests/mutation/late_response_mutations.py
@@ -0,0 +1,44 @@
+"""Mutations of what ties a response of an origin to one request, in the form of dataplane_mutations.py."""
+# ruff: noqa: E501
+
+HISTORY = "dataplane/test_connection_history.py"
+LATE = "dataplane/test_late_responses.py"
+
+MUTATIONS = [
+    (
+        "dataplane/upstream/connection_history.py",
+        " and not self.has_carried(request_id)\n",
+        "\n",
+        LATE,
+    ),
+    (
+        "dataplane/upstream/connection_history.py",
+        "        return self.carried_count >= REQUESTS_LIMIT\n",
+        "        return False\n",
+        HISTORY,
+    ),
+    (
+        "dataplane/upstream/exchange.py",
+        "        if not self.history.may_carry(request_id):\n",
+        "        if False:\n",
+        HISTORY,
+    ),
+    (
+        "dataplane/upstream/origin_endpoint.py",
+        "            elif connection.history.may_carry(request_id):\n",
+        "            else:\n",
+        HISTORY,
+    ),
+    (
+        "dataplane/upstream/origin_endpoint.py",
+        "        if len(self.idle) + self.connections_in_use() > connection_limit:\n",
+        "        if False:\n",
+        HISTORY,
+    ),
+    (
+        "dataplane/upstream/endpoint_prober.py",
+        'endpoint.acquire(PROBE_TIMEOUT_SECONDS, "")',
+        'endpoint.acquire(PROBE_TIMEOUT_SECONDS, "probe")',
+        HISTORY,
+    ),
+]
--- a/tests/mutation/run_mutations.py
+++ b/tests/mutation/run_mutations.py
@@ -19,6 +19,7 @@
 import departure_mutations
 import direct_edge_mutations
 import http_mutations
+import late_response_mutations
 import passing_on_mutations
 import shutdown_mutations
 import state_mutations
@@ -35,6 +36,7 @@
     + shutdown_mutations.MUTATIONS
     + http_mutations.MUTATIONS
     + passing_on_mutations.MUTATIONS
+    + late_response_mutations.MUTATIONS
 )
 
 
