Test of the end of a drain: events of earlier tests don't count

Failed once in a run of tests/dataplane with six workers. Cause: eliot hands the first destination of a process all events that came before, so a drain in an earlier test of the same process was counted. The assertion is the same.

--- a/tests/dataplane/test_own_answers.py
+++ b/tests/dataplane/test_own_answers.py
@@ -32,6 +32,8 @@
         await asyncio.sleep(0.01)
         events = []
         eliot.add_destinations(events.append)
+        # The first destination of a process also gets the events of earlier tests.
+        events.clear()
         await harness.context.drain()
         eliot.remove_destination(events.append)
         client.cancel()
