Responses of origins: a 304 counts only for the copy that was asked for

Callers could get a 304 that they had not asked for (MIXED), or an old copy confirmed by a 304 about another version (STALE).

Cause: a 304 was taken as the confirmation of whatever copy the fetch had begun with, and without one was passed on as it was; its entity tag was never compared with the tag that was sent. A 304 now answers only a conditional request, and if it bears a tag, one that was sent; else the attempt has failed and is tried elsewhere, within the budget. A 304 without a tag counts as before: its exchange is known by its id.

--- a/src/irisstand/dataplane/upstream/attempts.py
+++ b/src/irisstand/dataplane/upstream/attempts.py
@@ -151,7 +151,7 @@
             if not attempt.connection.is_used:
                 attempt.check_again()
             answer = await self.send(attempt.connection, attempt, number, request_id)
-            result = self.classifier.classify(endpoint, answer, request_id)
+            result = self.classifier.classify(endpoint, attempt.headers, answer, request_id)
             endpoint.note_answered(number)
             self.record_taken(attempt, attempt.connection, answer)
             is_passing_on = self.begin_passing_on(attempt, number, answer, result)
--- a/src/irisstand/dataplane/upstream/response_classifier.py
+++ b/src/irisstand/dataplane/upstream/response_classifier.py
@@ -3,7 +3,7 @@
 from irisstand import errors, node_context
 from irisstand.dataplane.http import header_names
 from irisstand.dataplane.retry import events
-from irisstand.dataplane.upstream import exchange, origin_endpoint
+from irisstand.dataplane.upstream import exchange, not_modified, origin_endpoint, upstream_request
 
 # How long an endpoint that refused to run a request gets no further request.
 REFUSAL_PAUSE_SECONDS = 0.05
@@ -30,9 +30,20 @@
         self.header_names = names
 
     def classify(
-        self, endpoint: origin_endpoint.Endpoint, answer: exchange.Answer, request_id: str
+        self,
+        endpoint: origin_endpoint.Endpoint,
+        sent_headers: upstream_request.Headers,
+        answer: exchange.Answer,
+        request_id: str,
     ) -> Result:
-        """Classify an origin's complete response as the result of the attempt or as a failure."""
+        """Classify an origin's complete response as the result of the attempt or as a failure.
+
+        Args:
+            endpoint: The endpoint that sent the response.
+            sent_headers: The headers of the request.
+            answer: The response.
+            request_id: The id that the request bore; empty if it bore none.
+        """
         names, instance = self.header_names, endpoint.instance
         if answer.status == MISDIRECTED_STATUS:
             # Another instance has taken over the address: it gets no request until the origin list names it.
@@ -51,12 +62,20 @@
         if answer.status in NOT_RUN_STATUSES:
             text = f"origin {instance} answered with status {answer.status} and may have run the request"
             return events.AttemptFailed(errors.OriginFailedError(text), instance)
+        fault = self.integrity_fault(sent_headers, answer, request_id)
+        if fault:
+            return events.AttemptFailed(errors.ResponseIntegrityError(fault), instance)
+        return events.ResponseReceived(answer, instance)
+
+    def integrity_fault(
+        self, sent_headers: upstream_request.Headers, answer: exchange.Answer, request_id: str
+    ) -> str:
+        """Return what a response lacks that proves it to be the one to its request; empty if nothing."""
+        names = self.header_names
         if request_id and answer.headers.get(names.request_id) != request_id:
-            unnamed = errors.ResponseIntegrityError("the origin's response does not bear the request's id")
-            return events.AttemptFailed(unnamed, instance)
+            return "the origin's response does not bear the request's id"
+        if not_modified.is_unasked(answer, sent_headers):
+            return "the origin's 304 is not about the copy that was asked for"
         if answer.status < FIRST_REDIRECT_STATUS and names.digest not in answer.headers:
-            missing_digest = errors.ResponseIntegrityError(
-                "the origin's response lacks the digest header that confirms it"
-            )
-            return events.AttemptFailed(missing_digest, instance)
-        return events.ResponseReceived(answer, instance)
+            return "the origin's response lacks the digest header that confirms it"
+        return ""
--- a/tests/mutation/late_response_mutations.py
+++ b/tests/mutation/late_response_mutations.py
@@ -2,9 +2,22 @@
 # ruff: noqa: E501
 
 HISTORY = "dataplane/test_connection_history.py"
+UNSHARED = "dataplane/test_unshared_responses.py"
 LATE = "dataplane/test_late_responses.py"
 
 MUTATIONS = [
+    (
+        "dataplane/upstream/response_classifier.py",
+        "        if not_modified.is_unasked(answer, sent_headers):\n",
+        "        if False:\n",
+        UNSHARED,
+    ),
+    (
+        "dataplane/upstream/not_modified.py",
+        "    return not set(_entity_tags(found)) & set(_entity_tags(condition))\n",
+        "    return False\n",
+        UNSHARED,
+    ),
     (
         "dataplane/upstream/connection_history.py",
         " and not self.has_carried(request_id)\n",
