Test edges on sockets: opening a connection has as much time as a request, and a refusal is printed

The file says that no time-out may reject a request on a busy machine; the one for opening connections had been left out. The assertion is the same, and now prints the body of a refusal.

--- a/tests/dataplane/test_request_smuggling.py
+++ b/tests/dataplane/test_request_smuggling.py
@@ -73,7 +73,7 @@
         if byte not in place.may_be_accepted and not (400 <= result.status < 500 and not result.runs):
             yield f"the malformed request ran {len(result.runs)} times and got status {result.status}"
     elif not 200 <= result.status < 300:
-        yield f"the well-formed request got status {result.status}"
+        yield f"the well-formed request got status {result.status}: {result.answer[-200:]!r}"
     if len(result.runs) > 1 and result.runs[0].method == "POST":
         yield "the write ran more than once"
     expected_id = (
--- a/tests/support/strict_edge.py
+++ b/tests/support/strict_edge.py
@@ -3,16 +3,18 @@
 import asyncio
 import itertools
 import socket
+import unittest.mock
 
 import direct_edge
 import lenient_origin
 
 from irisstand.dataplane.http import listener
-from irisstand.dataplane.upstream import connector
+from irisstand.dataplane.upstream import connector, origin_endpoint
 
 # Sanic keeps applications registered by name until the process ends, so each listener needs a new name.
 NUMBERS = itertools.count(1)
 ANSWER_SECONDS = 5.0
+CONNECT_SECONDS = 60.0
 
 
 class OriginHarness(direct_edge.DirectNodeHarness):
@@ -70,7 +72,10 @@
 
 
 def run_scenario(scenario):
-    """Run `scenario(edge)` with a new edge on real sockets, and return its result."""
+    """Run `scenario(edge)` with a new edge on real sockets, and return its result.
+
+    Connections may take as long as requests: an origin that a stalled process finds down refuses requests.
+    """
 
     async def start_and_run():
         edge = await Edge().start()
@@ -80,4 +85,5 @@
         finally:
             await edge.stop()
 
-    return asyncio.run(start_and_run())
+    with unittest.mock.patch.object(origin_endpoint, "CONNECT_TIMEOUT_SECONDS", CONNECT_SECONDS):
+        return asyncio.run(start_and_run())
