Shared fetches: a failure or a private response goes to the request that it belongs to alone

Callers got failures with the seal that an origin had given to another request (MIXED), and cookies that were set for others.

Cause: requests for one object share one fetch, and whatever that fetch brought went to all of them, each under its own id. Only what may be a copy for others is shared now; who waited for anything else is sent itself, within its own time. It holds at edges, holders, and in the roles edge and shield.

--- a/src/irisstand/dataplane/cache/object_reader.py
+++ b/src/irisstand/dataplane/cache/object_reader.py
@@ -126,7 +126,8 @@
     ) -> objects.CachedObject:
         """Fetch the object, or wait for an equal fetch that is in flight.
 
-        A large object is passed on to one of the requests that wait; the others fetch it for themselves.
+        A large object is passed on to one of the requests that wait, and a failure only to the request that
+        started the fetch; the others fetch for themselves.
 
         Raises:
             errors.DeadlineExceededError: The object did not arrive within `remaining` seconds.
@@ -150,6 +151,10 @@
                 if not is_joined or deadline - self.context.clock.now() < MIN_REMAINING_SECONDS:
                     raise
                 continue
+            if is_joined and not objects.is_shareable(fetched):
+                # The response belongs to the request that started the fetch.
+                key = (key, object())
+                continue
             if not self.is_holder and is_taken(fetched.body):
                 # No other request shares the next fetch of this one.
                 key = (key, object())
--- a/src/irisstand/dataplane/cache/objects.py
+++ b/src/irisstand/dataplane/cache/objects.py
@@ -9,6 +9,7 @@
 from irisstand.http1 import body_source, grammar
 from irisstand.state import versions
 
+STATUS_OK = 200
 CACHEABLE_STATUSES = (200, 404)
 PRIVATE_DIRECTIVES = ("no-store", "no-cache", "private")
 # The headers of an origin's response that are forwarded to clients.
@@ -54,6 +55,29 @@
         return self.age + now - self.as_of
 
 
+def is_shareable(content: CachedObject) -> bool:
+    """Return whether a response may answer other requests than the one that fetched it.
+
+    A failure, and a response that is meant for one client, belong to the request that the origin ran. Other
+    requests that waited for the same fetch are sent themselves.
+    """
+    if content.ttl > 0:
+        return True
+    headers = dict(content.headers)
+    return content.status == STATUS_OK and not is_private(headers)
+
+
+def is_private(headers: dict[str, str]) -> bool:
+    """Return whether a response is meant for one client alone; header names are in lower case.
+
+    >>> is_private({"cache-control": "max-age=5, Private"}), is_private({"cache-control": "max-age=5"})
+    (True, False)
+    """
+    directives = headers.get("cache-control", "").lower().split(",")
+    has_private_directive = any(part.strip().split("=")[0] in PRIVATE_DIRECTIVES for part in directives)
+    return has_private_directive or "set-cookie" in headers
+
+
 def held_body(content: CachedObject) -> bytes:
     """Return the body of an object that is held whole.
 
@@ -161,12 +185,10 @@
     >>> allowed_ttl(200, {"cache-control": "private, max-age=5"}, 30)
     0.0
     """
-    directives = [part.strip().lower() for part in headers.get("cache-control", "").split(",")]
-    is_private = any(directive.split("=")[0] in PRIVATE_DIRECTIVES for directive in directives)
-    if status not in CACHEABLE_STATUSES or is_private or "set-cookie" in headers:
+    if status not in CACHEABLE_STATUSES or is_private(headers):
         return 0.0
-    for directive in directives:
-        name, _, value = directive.partition("=")
+    for directive in headers.get("cache-control", "").lower().split(","):
+        name, _, value = directive.strip().partition("=")
         seconds = grammar.whole_number(value)
         if name == "max-age" and seconds is not None:
             ttl = min(ttl, seconds)
--- a/src/irisstand/dataplane/nodes/edge.py
+++ b/src/irisstand/dataplane/nodes/edge.py
@@ -164,7 +164,10 @@
         if not read.is_shared:
             return await fetch()
         key = (self.cache_key(read.allowed.service, read), minimum_version)
+        is_joined = self.coalescer.is_in_flight(key)
         fetched: messages.ReadResult = await self.coalescer.join(key, fetch)
+        if is_joined and not objects.is_shareable(fetched.content):
+            return await fetch()
         return fetched
 
     def result_from(self, request: Request, content: objects.CachedObject) -> Result:
--- a/src/irisstand/dataplane/nodes/shield.py
+++ b/src/irisstand/dataplane/nodes/shield.py
@@ -129,7 +129,11 @@
         self.context.counters.add("cache", at="shield", result="miss")
         versioned_request = request._replace(minimum_version=minimum_version)
         fetch = functools.partial(self.read_through_store, key, allowed, versioned_request, remaining)
+        is_joined, started = self.coalescer.is_in_flight((key, minimum_version)), self.context.clock.now()
         fetched: objects.CachedObject = await self.coalescer.join((key, minimum_version), fetch)
+        if is_joined and not objects.is_shareable(fetched):
+            waited = self.context.clock.now() - started
+            return await self.fetch(allowed, versioned_request, remaining - waited)
         return fetched
 
     def is_usable(self, cached: objects.CachedObject, path: str, minimum_version: versions.Version) -> bool:
--- a/tests/dataplane/test_unshared_responses.py
+++ b/tests/dataplane/test_unshared_responses.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+import cluster
 import pytest
+import test_object_holders
 from direct_edge import complete_answer, run_scenario
 
 from irisstand import errors
@@ -115,3 +117,43 @@
         return await outcome_of(harness.ask("/reads/1", if_none_match='"0", "1"'))
 
     assert run_scenario(scenario) == (304, b"")
+
+
+def test_failure_that_a_holder_fetched_for_one_edge_goes_to_no_other():
+    async def scenario(site):
+        async def origin(headers):
+            await asyncio.sleep(0.05)
+            found = headers["x-request-id"]
+            return complete_answer(found, found.encode(), 404)
+
+        site.nodes["holder-1"].respond = lambda key, headers, body: origin(headers)
+        edges = [site.nodes[name] for name in ("edge-1", "edge-2", "edge-1")]
+        reads = [outcome_of(edge.ask("/objects/1", request_id=f"r{n}")) for n, edge in enumerate(edges)]
+        return await asyncio.gather(*reads)
+
+    outcomes = test_object_holders.run_scenario(scenario)
+    assert outcomes == [(404, request_id.encode()) for request_id in REQUEST_IDS]
+
+
+def set_cookies(origin):
+    """Let a simulated origin set another cookie in each response."""
+    unchanged = origin.answer
+
+    def answer(*request):
+        response = unchanged(*request)
+        response.headers["set-cookie"] = f"session={len(origin.started)}-{origin.instance}"
+        return response
+
+    origin.answer = answer
+
+
+@pytest.mark.parametrize("names", [("edge-1", "edge-1"), ("edge-1", "edge-2")])
+def test_cookie_is_not_shared_on_the_way_through_shields(names):
+    async def scenario(day):
+        for origin in day.actors.origins:
+            set_cookies(origin)
+        reads = [day.actors.send_request(name, "GET", "/vacancies/1") for name in names]
+        answers = await asyncio.gather(*reads)
+        return {dict(answer.result.headers)["set-cookie"] for answer in answers}
+
+    assert len(cluster.run_scenario(scenario)) == len(names)
--- a/tests/mutation/late_response_mutations.py
+++ b/tests/mutation/late_response_mutations.py
@@ -6,6 +6,30 @@
 LATE = "dataplane/test_late_responses.py"
 
 MUTATIONS = [
+    (
+        "dataplane/cache/object_reader.py",
+        "            if is_joined and not objects.is_shareable(fetched):\n",
+        "            if False:\n",
+        UNSHARED,
+    ),
+    (
+        "dataplane/nodes/edge.py",
+        "        if is_joined and not objects.is_shareable(fetched.content):\n",
+        "        if False:\n",
+        UNSHARED,
+    ),
+    (
+        "dataplane/nodes/shield.py",
+        "        if is_joined and not objects.is_shareable(fetched):\n",
+        "        if False:\n",
+        UNSHARED,
+    ),
+    (
+        "dataplane/cache/objects.py",
+        "    return content.status == STATUS_OK and not is_private(headers)\n",
+        "    return content.status == STATUS_OK\n",
+        UNSHARED,
+    ),
     (
         "dataplane/upstream/response_classifier.py",
         "        if not_modified.is_unasked(answer, sent_headers):\n",
