Retries without an id: a failure under no id is no client's answer

A client could get the sealed failure that an origin gave to a request without an id, under the client's own id and even in the place of the failure of its own request (MIXED).

Cause: a retry for an object leaves the client's id out, and its response was taken whatever it was. Objects are the same for all requests, failures are not. A failure under no id now counts as a failed attempt: the client gets its own request's failure if there was one, else 502. Clients that send no id at all get the failures of their requests as before (a test of its own).

--- a/src/irisstand/dataplane/upstream/attempts.py
+++ b/src/irisstand/dataplane/upstream/attempts.py
@@ -151,7 +151,8 @@
             if not attempt.connection.is_used:
                 attempt.check_again()
             answer = await self.send(attempt.connection, attempt, number, request_id)
-            result = self.classifier.classify(endpoint, attempt.headers, answer, request_id)
+            sent = response_classifier.SentRequest(attempt.headers, request_id, attempt.is_anonymous)
+            result = self.classifier.classify(endpoint, sent, answer)
             endpoint.note_answered(number)
             self.record_taken(attempt, attempt.connection, answer)
             is_passing_on = self.begin_passing_on(attempt, number, answer, result)
--- a/tests/dataplane/test_unshared_responses.py
+++ b/tests/dataplane/test_unshared_responses.py
@@ -8,6 +8,7 @@
 from direct_edge import complete_answer, run_scenario
 
 from irisstand import errors
+from irisstand.dataplane.nodes import direct
 from irisstand.dataplane.upstream import exchange
 from irisstand.state import items
 
@@ -79,6 +80,19 @@
     assert run_scenario(scenario) == (500, b"own")
 
 
+@pytest.mark.parametrize(
+    ("path", "method"), [("/objects/1", "GET"), ("/reads/1", "GET"), ("/writes/1", "POST")]
+)
+def test_client_that_sends_no_id_gets_the_failure_of_its_own_request(path, method):
+    async def scenario(harness):
+        harness.respond = lambda key, headers, body: complete_answer(None, b"own", 404)
+        request = direct.Request(method, path.encode(), "h", {}, b"")
+        answer = await harness.direct_node.handle(request)
+        return answer.status, answer.body
+
+    assert run_scenario(scenario) == (404, b"own")
+
+
 def test_304_to_a_request_that_was_not_conditional_is_no_answer():
     """Guards against MIXED: a 304 that nobody asked for, given to a client that has no copy."""
 
--- a/tests/mutation/direct_edge_mutations.py
+++ b/tests/mutation/direct_edge_mutations.py
@@ -16,7 +16,7 @@
     ),
     (
         "dataplane/upstream/response_classifier.py",
-        "        if request_id and answer.headers.get(names.request_id) != request_id:",
+        "        if sent.request_id and answer.headers.get(names.request_id) != sent.request_id:",
         "        if False:",
         "dataplane/test_direct_edge.py",
     ),
--- a/tests/mutation/late_response_mutations.py
+++ b/tests/mutation/late_response_mutations.py
@@ -6,6 +6,12 @@
 LATE = "dataplane/test_late_responses.py"
 
 MUTATIONS = [
+    (
+        "dataplane/upstream/response_classifier.py",
+        "        if sent.is_anonymous and answer.status not in ANONYMOUS_STATUSES:\n",
+        "        if False:\n",
+        UNSHARED,
+    ),
     (
         "dataplane/cache/object_reader.py",
         "            if is_joined and not objects.is_shareable(fetched):\n",
@@ -32,7 +38,7 @@
     ),
     (
         "dataplane/upstream/response_classifier.py",
-        "        if not_modified.is_unasked(answer, sent_headers):\n",
+        "        if not_modified.is_unasked(answer, sent.headers):\n",
         "        if False:\n",
         UNSHARED,
     ),
