Shields: a connection on which a late response came is closed

In the roles edge and shield a late response never reached a caller: ids there are new for each call, and id and digest are checked. But the connection was kept, so each request on it got the response to the one before and failed with 502 (test red, also long after the origin had stopped to answer twice). aiohttp hands bytes that come on an idle connection to the next request. The connection is closed now where a response lacks its integrity or a probe is not answered as expected. Simulated origins learn the fault "stutter": a second response, unlike the first, comes in the place of the next one.

--- a/src/irisstand/dataplane/upstream/origin_client.py
+++ b/src/irisstand/dataplane/upstream/origin_client.py
@@ -184,7 +184,12 @@
         headers = {**request.headers, "X-Request-Id": request.request_id}
         timeout = max(MINIMUM_TIMEOUT_SECONDS, retry_policy.remaining())
         answer = await connection.send(request.method, request.target, headers, request.body, timeout)
-        objects.check_integrity(answer.headers, answer.body, request.request_id)
+        try:
+            objects.check_integrity(answer.headers, answer.body, request.request_id)
+        except errors.ResponseIntegrityError:
+            # If this was a late response to an earlier request, the next request would get this one's.
+            await connection.close()
+            raise
         self.context.counters.add("origin_requests", service=allowed.service, method=request.method)
         return events.ResponseReceived(answer, origin.instance)
 
--- a/src/irisstand/dataplane/upstream/origin_connections.py
+++ b/src/irisstand/dataplane/upstream/origin_connections.py
@@ -118,10 +118,17 @@
         return connection
 
     async def confirm(self, connection: connections.UpstreamConnection, timeout_seconds: float) -> None:
-        """Probe the origin over a connection, and check that it is the expected one and healthy."""
-        await connections.confirm_identity(
-            connection, self.probe, self.origin.service, self.instance, timeout_seconds
-        )
+        """Probe the origin over a connection, and check that it is the expected one and healthy.
+
+        The connection is closed if not: a late response to an earlier request may have come instead.
+        """
+        try:
+            await connections.confirm_identity(
+                connection, self.probe, self.origin.service, self.instance, timeout_seconds
+            )
+        except errors.IrisError:
+            await connection.close()
+            raise
 
     async def release(self, connection: connections.UpstreamConnection) -> None:
         """Return a connection to the idle ones if it can carry another request; close it otherwise."""
--- a/src/irisstand/simulator/simulated_origins.py
+++ b/src/irisstand/simulator/simulated_origins.py
@@ -1,6 +1,7 @@
 """Simulated origins, which crash, give faulty responses and change addresses, and connections to them."""
 
 import asyncio
+import collections
 import contextvars
 import json
 import typing
@@ -127,6 +128,15 @@
         return connections.Answer(status, headers, content)
 
 
+def surplus_response(response: connections.Answer) -> connections.Answer:
+    """Return the second response to a request, which bears its id and a body of its own."""
+    body = b"{}"
+    headers = {**response.headers, "content-length": str(len(body))}
+    if "content-digest" in headers:
+        headers["content-digest"] = objects.digest_header(body)
+    return connections.Answer(response.status, headers, body)
+
+
 class OriginDirectory(typing.Protocol):
     """A directory of the origins by their addresses."""
 
@@ -154,6 +164,8 @@
         self.address = (origin.host, origin.port)
         self.is_open = True
         self.may_have_sent = False
+        # Responses that have arrived and were given to no request; like aiohttp, the next request gets them.
+        self.backlog: collections.deque[connections.Answer] = collections.deque()
         self.generation = origin.generation
         origin.connections += 1
 
@@ -202,8 +214,11 @@
             return
         if response is None:
             future.set_exception(ConnectionResetError("the origin closed the connection without a response"))
-        else:
-            future.set_result(response)
+            return
+        self.backlog.append(response)
+        future.set_result(self.backlog.popleft())
+        if "stutter" in self.origin.faults:
+            self.backlog.append(surplus_response(response))
 
     def is_partitioned(self) -> bool:
         """Return whether a partition separates this host from the origin."""
--- a/tests/dataplane/test_late_responses.py
+++ b/tests/dataplane/test_late_responses.py
@@ -1,7 +1,9 @@
 """Origins that answer twice: each caller gets its own whole response, and no copy is older than its purge."""
 
 import asyncio
+import json
 
+import cluster
 import pytest
 import stuttering_edge
 
@@ -92,3 +94,30 @@
         return edge.connections.total()
 
     assert stuttering_edge.run_scenario(scenario) <= 2
+
+
+def test_shield_closes_a_connection_on_which_a_late_response_came():
+    """Guards against responses that stay one behind: each request on the connection would fail."""
+
+    async def scenario(day):
+        for origin in day.actors.origins:
+            origin.faults.add("stutter")
+        await read_all(day, "before", 20)
+        for origin in day.actors.origins:
+            origin.faults.discard("stutter")
+        await read_all(day, "between", 20)
+        return await read_all(day, "after", 20)
+
+    assert cluster.run_scenario(scenario) == {200}
+
+
+async def read_all(day, prefix, count):
+    """Read objects one after another; return the statuses, and check that each body is the origin's."""
+    statuses = set()
+    for number in range(count):
+        path = f"/vacancies/{prefix}-{number}"
+        answer = await day.actors.send_request("edge-1", "GET", path)
+        statuses.add(answer.status)
+        if answer.status == 200:
+            assert json.loads(answer.result.body)["target"] == path
+    return statuses
