--- a/src/irisstand/cli/develop.py
+++ b/src/irisstand/cli/develop.py
@@ -100,11 +100,14 @@
 @click.option("--scripts", type=click.IntRange(1), default=2000, help="How many scripts, one seed each.")
 @click.option("--workers", type=click.IntRange(1, 256), default=4, help="How many processes run scripts.")
 @click.option("--first", type=int, default=1, help="Seed of the first script.")
-def fuzz_origins(*, scripts: int, workers: int, first: int) -> None:
-    """Run scripts of a client and hostile origins; exit with code 1 if one violated an invariant."""
-    from irisstand.simulator import hostile_scripts
+@click.option(
+    "--kind", type=click.Choice(["hostile", "stuttering"]), default="hostile", help="Kind of origins."
+)
+def fuzz_origins(*, scripts: int, workers: int, first: int, kind: str) -> None:
+    """Run scripts of a client and origins; exit with code 1 if one violated an invariant."""
+    from irisstand.simulator import origin_scripts
 
-    figures = hostile_scripts.run_all(scripts, workers, first)
+    figures = origin_scripts.run_all(scripts, workers, first, kind=kind)
     for example in figures.violations[:EXAMPLES_LIMIT]:
         click.echo(example)
     click.echo(
--- a/src/irisstand/emulators/object_records.py
+++ b/src/irisstand/emulators/object_records.py
@@ -7,7 +7,8 @@
 import hashlib
 import typing
 
-OBJECT_STATUSES = (200, 206)
+STATUS_OK = 200
+OBJECT_STATUSES = (STATUS_OK, 206)
 STATUS_NOT_MODIFIED = 304
 
 
@@ -34,11 +35,13 @@
 
     Attributes:
         responses: The responses by request id.
+        repeated_ids: A message for each request whose id had come on the same connection before.
         replaced_at: By target, the time at which each version was replaced, from the first version on.
     """
 
     def __init__(self) -> None:
         self.responses: collections.defaultdict[str, list[OriginResponse]] = collections.defaultdict(list)
+        self.repeated_ids: list[str] = []
         self.replaced_at: collections.defaultdict[str, list[float]] = collections.defaultdict(list)
 
     def version(self, target: str) -> int:
--- a/src/irisstand/emulators/stuttering_origin.py
+++ b/src/irisstand/emulators/stuttering_origin.py
@@ -78,6 +78,7 @@
         self.conduct = conduct
         self.buffer = origin_requests.RequestBuffer()
         self.transport: typing.Any = None
+        self.received_ids: set[str] = set()
         # Surplus responses that are sent before the next response.
         self.postponed: list[bytes] = []
 
@@ -91,11 +92,18 @@
             for surplus in self.postponed:
                 self.write(surplus)
             self.postponed = []
+            self.note_id(request)
             # The version that is current now is the one that this request gets.
             response = self.execute(request)
             loop = asyncio.get_running_loop()
             loop.call_later(self.conduct.work_seconds(request), self.respond, request, response)
 
+    def note_id(self, request: origin_requests.ReceivedRequest) -> None:
+        """Record a request whose id had come on this connection before."""
+        if request.request_id in self.received_ids:
+            self.records.repeated_ids.append(f"id {request.request_id!r} came twice on one connection")
+        self.received_ids.add(request.request_id)
+
     def execute(self, request: origin_requests.ReceivedRequest) -> object_records.OriginResponse:
         """Execute a request and record its response."""
         status, body, version = 200, f"{request.target} run for {request.request_id}".encode(), 0
--- a/src/irisstand/simulator/hostile_scripts.py
+++ b/src/irisstand/simulator/hostile_scripts.py
@@ -1,30 +1,17 @@
-"""Fuzzes a direct edge with hostile origins in virtual time; each script is determined by its seed.
+"""Scripts of a direct edge with hostile origins in virtual time; each script is determined by its seed.
 
 The responses of the edge are compared with the requests that the origins executed.
 """
 
 import asyncio
-import concurrent.futures
 import random
-import typing
 
-from irisstand import clocks, errors, node_context, node_settings
+from irisstand import errors
 from irisstand.dataplane.nodes import direct
-from irisstand.dataplane.routing import configuration_view
 from irisstand.dataplane.upstream import exchange
 from irisstand.emulators import hostile_origin
-from irisstand.simulator import memory_network, simulated_network, virtual_time
-from irisstand.state import items, versions
+from irisstand.simulator import scripted_edge
 
-SETTINGS = node_settings.Settings(
-    *("edge-1", "m1", "north", "one", "10.0.0.1", 7000, 8000, []),
-    role="direct",
-    front=("10.0.0.1", 80),
-    second_share=0.2,
-    second_allowance=10,
-    holder_edges=1,
-)
-KINDS = {"objects": "cacheable", "reads": "idempotent", "writes": "non_idempotent"}
 REQUESTS = 8
 # Statuses that tell a client that its request was not executed.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -34,8 +21,7 @@
 PAUSES_SECONDS = (0.0, 0.002, 0.05, 0.4)
 # After this time every request that was still in flight has been executed or lost.
 SETTLE_SECONDS = 3
-ALWAYS_CURRENT_SECONDS = 1e6
-SCRIPTS_PER_BATCH = 500
+CACHE_LIFE_SECONDS = 10.0
 
 
 class Script:
@@ -47,40 +33,12 @@
         self.violations: list[str] = []
         self.answered = 0
         self.writes: set[str] = set()
-        clock = clocks.LoopClock()
-        network = memory_network.HostNetwork(
-            simulated_network.SimulatedNetwork(self.randomness), SETTINGS.host
-        )
-        self.context = node_context.NodeContext(SETTINGS, "direct", clock, self.randomness, network)
-        self.context.drain_ending = asyncio.get_running_loop().create_future()
-        self.node = direct.DirectNode(
-            self.context, configuration_view.ConfigurationView(self.context), self.connect
-        )
-        self.counter = 0
-        self.put_configuration()
-        for replica in self.context.replicas.values():
-            replica.confirm_current(clock.now() + ALWAYS_CURRENT_SECONDS)
-
-    def put_configuration(self) -> None:
-        """Put a route of each kind, the service and its two origins into the tables of the edge."""
-        for name, kind in KINDS.items():
-            route = {"name": name, "version": 1, "host": "h", "prefix": f"/{name}/", "kind": kind}
-            route |= {"timeout": 2.0, "target": 0.2, "attempts": 3, "cache_life": 10.0, "service": "s"}
-            self.put(items.CONFIGURATION, f"route/{name}", {"version": 1, "item": route})
-        upstream = {"name": "s", "version": 1, "cold_rate": 5.0, "connections": 50}
-        self.put(items.CONFIGURATION, "upstream/s", {"version": 1, "item": upstream})
-        for key in "ab":
-            origin = {"service": "s", "host": key, "port": 80, "site": "north", "state": "ready"}
-            self.put(items.LEDGER, f"origin/{key}", {**origin, "warmup": 0, "slots": 2})
+        self.node = scripted_edge.ScriptedEdge(self.randomness, self.connect, CACHE_LIFE_SECONDS).node
 
-    def put(self, table: str, key: str, value: dict[str, typing.Any]) -> None:
-        """Put an item with a new version into the edge's replica of a table."""
-        replica = self.context.replicas[table]
-        self.counter += 1
-        version = versions.Version(self.counter, "n")
-        replica.put(items.Item(key, version, value))
-        replica.applied = version
-        replica.notify_watchers()
+    @property
+    def run_count(self) -> int:
+        """The number of executions at origins."""
+        return self.request_log.runs.total()
 
     async def connect(self, host: str, port: int) -> exchange.Exchange:
         """Open a connection to a new hostile origin, whatever the address."""
@@ -92,7 +50,7 @@
 
     async def request(self, number: int) -> None:
         """Send one random request and check the response that the client receives."""
-        kind = self.randomness.choice(tuple(KINDS))
+        kind = self.randomness.choice(tuple(scripted_edge.KINDS))
         method = "POST" if kind == "writes" else self.randomness.choice(("GET", "GET", "HEAD"))
         target = f"/{kind}/{number}"
         request_id = f"r{number}"
@@ -147,44 +105,3 @@
         for name in sorted(self.writes):
             if self.request_log.runs[name] > 1:
                 self.violations.append(f"write {name} was executed {self.request_log.runs[name]} times")
-
-
-class FuzzResult(typing.NamedTuple):
-    """Numbers of scripts, answered requests and executions at origins, and the violations with seeds."""
-
-    scripts: int
-    answered: int
-    runs: int
-    violations: tuple[str, ...]
-
-
-def run_scripts(seeds: range) -> FuzzResult:
-    """Run the scripts of these seeds, each on an event loop of its own, and return their sums."""
-    answered = 0
-    runs = 0
-    violations: list[str] = []
-
-    async def run_script(seed: int) -> Script:
-        script = Script(seed)
-        await script.run()
-        return script
-
-    for seed in seeds:
-        script = virtual_time.run(run_script(seed))
-        answered += script.answered
-        runs += script.request_log.runs.total()
-        violations += [f"seed {seed}: {violation}" for violation in script.violations]
-    return FuzzResult(len(seeds), answered, runs, tuple(violations))
-
-
-def run_all(scripts: int, workers: int, first: int = 1, size: int = SCRIPTS_PER_BATCH) -> FuzzResult:
-    """Run scripts in several worker processes, in batches of `size`, and return their sums."""
-    batches = [range(n, min(n + size, first + scripts)) for n in range(first, first + scripts, size)]
-    with concurrent.futures.ProcessPoolExecutor(workers) as pool:
-        results = list(pool.map(run_scripts, batches))
-    return FuzzResult(
-        scripts=sum(result.scripts for result in results),
-        answered=sum(result.answered for result in results),
-        runs=sum(result.runs for result in results),
-        violations=tuple(violation for result in results for violation in result.violations),
-    )
--- a/tests/dataplane/test_hostile_origin_scripts.py
+++ b/tests/dataplane/test_hostile_origin_scripts.py
@@ -8,11 +8,11 @@
 from irisstand import errors
 from irisstand.dataplane.upstream import connector
 from irisstand.emulators import hostile_origin
-from irisstand.simulator import hostile_scripts
+from irisstand.simulator import origin_scripts
 
 
 def test_hostile_origins_give_each_client_its_own_answer_and_run_no_write_twice():
-    figures = hostile_scripts.run_scripts(range(1, 301))
+    figures = origin_scripts.run_scripts(range(1, 301))
     assert not figures.violations, figures.violations[:5]
     # The scripts produce responses, and also requests that ran without a response.
     assert figures.answered > 1000
