--- a/src/irisstand/emulators/object_records.py
+++ b/src/irisstand/emulators/object_records.py
@@ -4,12 +4,12 @@
 """
 
 import collections
-import hashlib
 import typing
 
 STATUS_OK = 200
 OBJECT_STATUSES = (STATUS_OK, 206)
 STATUS_NOT_MODIFIED = 304
+FILLING = b"."
 
 
 class OriginResponse(typing.NamedTuple):
@@ -33,13 +33,17 @@
 class ObjectRecords:
     """Versions of objects and responses of all origins of a run.
 
+    Args:
+        body_bytes: The length of the bodies of objects; they are longer if their text is.
+
     Attributes:
         responses: The responses by request id.
         repeated_ids: A message for each request whose id had come on the same connection before.
         replaced_at: By target, the time at which each version was replaced, from the first version on.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, body_bytes: int = 0) -> None:
+        self.body_bytes = body_bytes
         self.responses: collections.defaultdict[str, list[OriginResponse]] = collections.defaultdict(list)
         self.repeated_ids: list[str] = []
         self.replaced_at: collections.defaultdict[str, list[float]] = collections.defaultdict(list)
@@ -83,8 +87,18 @@
 
     def version_of(self, target: str, body: bytes) -> int | None:
         """Return the version of an object that has this body; None if there was never such a version."""
-        versions = range(1, self.version(target) + 1)
-        return next((number for number in versions if object_body(target, number) == body), None)
+        text = body.rstrip(FILLING).rpartition(b" ")[2]
+        found = int(text) if text.isdigit() else 0
+        is_version = 1 <= found <= self.version(target) and body == self.object_body(target, found)
+        return found if is_version else None
+
+    def object_body(self, target: str, version: int) -> bytes:
+        """Return the body of a version of an object."""
+        return self.pad(f"{target} version {version}")
+
+    def pad(self, text: str) -> bytes:
+        """Return a text as a body of the length of this run."""
+        return text.encode().ljust(self.body_bytes, FILLING)
 
     def stale(self, target: str, body: bytes, current_at: float) -> str:
         """Return what shows that a body is a version that was replaced too early; empty if it is not.
@@ -100,13 +114,3 @@
             return ""
         ended_at = replaced[found - 1]
         return f"version {found} of {target}, replaced at {ended_at:.3f}, is older than {current_at:.3f}"
-
-
-def object_body(target: str, version: int) -> bytes:
-    """Return the body of a version of an object."""
-    return f"{target} version {version}".encode()
-
-
-def digest(body: bytes) -> str:
-    """Return the digest that a response with this body has in its digest header."""
-    return hashlib.sha256(body).hexdigest()[:16]
--- a/src/irisstand/emulators/stuttering_origin.py
+++ b/src/irisstand/emulators/stuttering_origin.py
@@ -2,43 +2,16 @@
 
 import asyncio
 import collections.abc
-import enum
 import random
 import typing
 
-from irisstand.emulators import object_records, origin_requests
+from irisstand.emulators import object_records, origin_requests, surplus_responses
 
-DIGEST_HEADER = "content-digest"
-TAGS_HEADER = "cache-tag"
-NOT_RUN_HEADER = "x-not-run"
 # Objects are served below this path; below all other paths each request is executed.
 OBJECT_PREFIX = "/objects/"
 FAILING_PREFIX = "/objects/failing"
 
 
-class SurplusKind(enum.Enum):
-    """How a surplus response differs from the response before it; all but one bear its request id."""
-
-    SAME = "same"
-    OTHER_BODY = "other-body"
-    WITHOUT_ID = "without-id"
-    NOT_MODIFIED = "not-modified"
-    NOT_RUN = "not-run"
-
-
-class Surplus(typing.NamedTuple):
-    """A surplus response.
-
-    Attributes:
-        kind: How it differs from the first response.
-        delay_seconds: How long after the first response it is sent; None if it is sent when the next request
-            has arrived on the connection, before the response to that one.
-    """
-
-    kind: SurplusKind
-    delay_seconds: float | None
-
-
 class Conduct(typing.NamedTuple):
     """How an origin behaves.
 
@@ -48,21 +21,15 @@
     """
 
     work_seconds: collections.abc.Callable[[origin_requests.ReceivedRequest], float]
-    surplus: collections.abc.Callable[[origin_requests.ReceivedRequest], list[Surplus]]
+    surplus: collections.abc.Callable[[origin_requests.ReceivedRequest], list[surplus_responses.Surplus]]
 
 
 def random_conduct(randomness: random.Random, share: float) -> Conduct:
     """Return the conduct of an origin that answers this share of its requests more than once."""
-    kinds = list(SurplusKind)
-    delays = (None, None, 0.0, 0.005, 0.05, 0.2)
-
-    def surplus(_: origin_requests.ReceivedRequest) -> list[Surplus]:
-        if randomness.random() >= share:
-            return []
-        count = randomness.choice((1, 1, 1, 2, 4))
-        return [Surplus(randomness.choice(kinds), randomness.choice(delays)) for _ in range(count)]
-
-    return Conduct(lambda _: randomness.choice((0.0, 0.01, 0.1)), surplus)
+    return Conduct(
+        lambda _: randomness.choice((0.0, 0.01, 0.1)),
+        lambda _: surplus_responses.draw(randomness, share),
+    )
 
 
 class StutteringOrigin(asyncio.Protocol):
@@ -113,7 +80,7 @@
             version = self.records.version(request.target)
             is_current = request.headers.get("if-none-match") == f'"{version}"'
             status = 304 if is_current else 200
-            body = b"" if is_current else object_records.object_body(request.target, version)
+            body = b"" if is_current else self.records.object_body(request.target, version)
         response = object_records.OriginResponse(request.request_id, request.target, status, body, version)
         self.records.add(response)
         return response
@@ -122,42 +89,14 @@
         self, request: origin_requests.ReceivedRequest, response: object_records.OriginResponse
     ) -> None:
         """Send a response, and send or prepare the surplus responses that follow it."""
-        self.write(self.encode(response))
+        self.write(surplus_responses.encode(response))
         for surplus in self.conduct.surplus(request):
-            data = self.encode_surplus(response, surplus.kind)
+            data = surplus_responses.encode_surplus(response, surplus.kind)
             if surplus.delay_seconds is None:
                 self.postponed.append(data)
             else:
                 asyncio.get_running_loop().call_later(surplus.delay_seconds, self.write, data)
 
-    def encode_surplus(self, response: object_records.OriginResponse, kind: SurplusKind) -> bytes:
-        """Return a surplus response as bytes."""
-        match kind:
-            case SurplusKind.SAME:
-                return self.encode(response)
-            case SurplusKind.OTHER_BODY:
-                return self.encode(response._replace(status=200, body=b"ok"), is_tagged=False)
-            case SurplusKind.WITHOUT_ID:
-                return self.encode(response._replace(request_id=""))
-            case SurplusKind.NOT_MODIFIED:
-                return self.encode(response._replace(status=304, body=b""))
-            case SurplusKind.NOT_RUN:
-                refused = response._replace(status=503, body=b"")
-                return self.encode(refused, extra_headers=f"{NOT_RUN_HEADER}: 1\r\n")
-
-    def encode(
-        self, response: object_records.OriginResponse, *, is_tagged: bool = True, extra_headers: str = ""
-    ) -> bytes:
-        """Return a response as bytes; that for an object has its entity tag and its tags."""
-        lines = [f"HTTP/1.1 {response.status} X", f"{DIGEST_HEADER}: {object_records.digest(response.body)}"]
-        if response.request_id:
-            lines.append(f"{origin_requests.REQUEST_ID_HEADER}: {response.request_id}")
-        if is_tagged and response.version:
-            lines.append(f'etag: "{response.version}"')
-            lines.append(f"{TAGS_HEADER}: all")
-        lines.append(f"content-length: {len(response.body)}")
-        return ("\r\n".join(lines) + "\r\n" + extra_headers + "\r\n").encode() + response.body
-
     def write(self, data: bytes) -> None:
         """Write data to the connection unless it is closing."""
         if not self.transport.is_closing():
--- a/src/irisstand/simulator/stuttering_scripts.py
+++ b/src/irisstand/simulator/stuttering_scripts.py
@@ -10,7 +10,13 @@
 from irisstand.dataplane.nodes import direct
 from irisstand.dataplane.retry import freshness_policy
 from irisstand.dataplane.upstream import exchange
-from irisstand.emulators import hostile_origin, object_records, origin_requests, stuttering_origin
+from irisstand.emulators import (
+    hostile_origin,
+    object_records,
+    origin_requests,
+    stuttering_origin,
+    surplus_responses,
+)
 from irisstand.simulator import scripted_edge
 from irisstand.state import items
 
@@ -18,8 +24,6 @@
 PURGES = 12
 OBJECTS = tuple(f"/objects/{number}" for number in range(3))
 FAILING_OBJECT = "/objects/failing"
-# Every object has this tag.
-TAG = "all"
 CACHE_LIFE_SECONDS = 1.0
 CLIENT_TIMEOUT_SECONDS = 5.0
 PAUSES_SECONDS = (0.0, 0.0, 0.005, 0.05, 0.2)
@@ -80,7 +84,7 @@
                     self.edge.put(items.LEDGER, f"purge/path/{scripted_edge.HOST}{target}", {"purge": "path"})
                     self.purged_at[target] = self.clock.now()
                 case "tag":
-                    self.edge.put(items.LEDGER, f"purge/tag/{TAG}", {"purge": "tag"})
+                    self.edge.put(items.LEDGER, f"purge/tag/{surplus_responses.TAG}", {"purge": "tag"})
                     self.purged_at = dict.fromkeys(OBJECTS, self.clock.now())
 
     async def request(self, number: int) -> None:
--- a/tests/dataplane/test_late_responses.py
+++ b/tests/dataplane/test_late_responses.py
@@ -8,16 +8,16 @@
 import stuttering_edge
 
 from irisstand import errors
-from irisstand.emulators import object_records, stuttering_origin
+from irisstand.emulators import surplus_responses
 
 PATH = "/objects/1"
-KINDS = stuttering_origin.SurplusKind
+KINDS = surplus_responses.SurplusKind
 # Sent in the place of the next response on the connection.
 IN_PLACE_OF_NEXT = None
 
 
 def surplus(kind, count=1):
-    return [stuttering_origin.Surplus(kind, IN_PLACE_OF_NEXT)] * count
+    return [surplus_responses.Surplus(kind, IN_PLACE_OF_NEXT)] * count
 
 
 def read_purged_in_flight(*surplus, is_cached):
@@ -30,7 +30,7 @@
         bodies = [(await edge.ask_while_purged(PATH, "r1")).body]
         await asyncio.sleep(0.5)
         bodies.append((await edge.ask(PATH, request_id="r2")).body)
-        return bodies, object_records.object_body(PATH, edge.records.version(PATH))
+        return bodies, edge.records.object_body(PATH, edge.records.version(PATH))
 
     return stuttering_edge.run_scenario(scenario, *surplus)
 
--- a/tests/dataplane/test_response_reports.py
+++ b/tests/dataplane/test_response_reports.py
@@ -9,9 +9,9 @@
 
 from irisstand import counters, errors, event_log
 from irisstand.dataplane.upstream import response_reports
-from irisstand.emulators import stuttering_origin
+from irisstand.emulators import surplus_responses
 
-KINDS = stuttering_origin.SurplusKind
+KINDS = surplus_responses.SurplusKind
 
 
 @pytest.mark.parametrize(
@@ -30,7 +30,7 @@
             await edge.ask("/reads/2", request_id="r2")
         return edge.context.counters.get("surplus_responses", fate=fate, reason=reason)
 
-    surplus = stuttering_origin.Surplus(kind, delay_seconds)
+    surplus = surplus_responses.Surplus(kind, delay_seconds)
     assert stuttering_edge.run_scenario(scenario, surplus) >= 1
 
 
