Late responses: the limit of those that are skipped counts for one request, not for the connection

Callers got 502 although an origin was at work: each fourth late response on a connection closed it, with the request that waited just then. Cause: the count of skipped responses was never reset, so a limit that bounds an endless stream hit innocent requests on origins that stutter, and cost a connection each time. Evidence: twelve requests on one connection, each with a late response in its place, failed at the fifth; green now, on one connection. The count begins anew with each request; eight are skipped while one request waits, so that several late responses at once do no harm. A request with more before it fails as before.

--- a/src/irisstand/dataplane/upstream/response_reader.py
+++ b/src/irisstand/dataplane/upstream/response_reader.py
@@ -13,8 +13,8 @@
 )
 from irisstand.http1 import body_source, grammar
 
-# How many responses that bear the id of another request are skipped before the connection is closed.
-SURPLUS_LIMIT = 3
+# How many responses that bear the ids of other requests are skipped while one request waits.
+SURPLUS_LIMIT = 8
 
 
 class Answer(typing.NamedTuple):
@@ -80,7 +80,6 @@
         self.receiver = receiver
         self.process_budget = budget
         self.budget = response_budget.ResponseBudget(budget, receiver)
-        self.surplus_count = 0
         self.begin("", "", is_first=True)
 
     def begin(self, method: str, request_id: str, *, is_first: bool) -> None:
@@ -88,6 +87,7 @@
         self.method = method
         self.request_id = request_id
         self.is_first_request = is_first
+        self.surplus_count = 0
         self.parser: typing.Any = httptools.HttpResponseParser(self)
         self.headers: dict[str, str] = {}
         self.body = bytearray()
--- a/tests/mutation/late_response_mutations.py
+++ b/tests/mutation/late_response_mutations.py
@@ -6,6 +6,18 @@
 LATE = "dataplane/test_late_responses.py"
 
 MUTATIONS = [
+    (
+        "dataplane/upstream/response_reader.py",
+        "            if self.surplus_count > SURPLUS_LIMIT:\n",
+        "            if False:\n",
+        LATE,
+    ),
+    (
+        "dataplane/upstream/response_reader.py",
+        "        self.surplus_count = 0\n",
+        "        self.surplus_count = getattr(self, 'surplus_count', 0)\n",
+        LATE,
+    ),
     (
         "dataplane/upstream/response_classifier.py",
         "        if sent.is_anonymous and answer.status not in ANONYMOUS_STATUSES:\n",
