Soak: origins that answer twice, late, objects that change and are purged; MIXED and STALE by the origins' records

Origins answer If-None-Match with 304 now, and bodies name their request or version, so that other runs of the soak check the same.

--- a/src/irisstand/cli/develop.py
+++ b/src/irisstand/cli/develop.py
@@ -124,6 +124,7 @@
 @click.option("--seconds", type=click.FloatRange(5, 3600), default=60, help="Length of a run, in seconds.")
 @click.option("--kills", is_flag=True, help="Kill processes, too; some lose their disks.")
 @click.option("--series", is_flag=True, help="Add overlapping series of signals, restarts and changes.")
+@click.option("--stutter", is_flag=True, help="Origins answer twice, late; objects change and are purged.")
 @folder_option
 def soak(*, first: int, runs: int, folder: str, **options: typing.Any) -> None:
     """Run soak tests; exit with code 1 if one of them found a failure."""
--- a/src/irisstand/soak/clients.py
+++ b/src/irisstand/soak/clients.py
@@ -7,6 +7,7 @@
 import socket
 import typing
 
+from irisstand.emulators import object_records
 from irisstand.soak import fleet, records, shape
 
 # Host of all requests, and of all routes in the configuration of the run.
@@ -20,6 +21,10 @@
 # Longest pause between two requests on a connection.
 MAX_IDLE_SECONDS = 3.0
 OBJECT_COUNT = 150
+# The TTL of objects, and how long after it, or after the confirmation of a purge, a copy may still be served.
+CACHE_LIFE_SECONDS = 5
+STALE_SLACK_SECONDS = 2.0
+PURGE_SECONDS = 2.0
 # Probability that a write pauses between its head and its body, and the longest such pause.
 SLOW_UPLOAD_SHARE = 0.15
 MAX_UPLOAD_SECONDS = 4.0
@@ -144,6 +149,7 @@
                 request.sent_at = loop.time()
                 answer = await self.read_response(connection.reader)
             self.record_response(request, answer)
+            self.check_response(request, answer)
             if "close" in answer.headers.get("connection", "").lower():
                 self.close()
         except TimeoutError:
@@ -197,6 +203,20 @@
             await asyncio.sleep(SLOW_READ_PAUSE_SECONDS)
         return Answer(int(status_line.split(" ")[1]), headers, body)
 
+    def check_response(self, request: records.ClientRequest, answer: Answer) -> None:
+        """Compare a response of an origin with what the origins recorded."""
+        if request.end is not records.RequestEnd.ANSWERED:
+            return
+        is_object = request.kind == "objects"
+        origins = self.records.objects
+        request.mixed = origins.mixed(
+            request.request_id, request.path, answer.status, answer.body, is_object=is_object
+        )
+        if is_object and answer.status == object_records.STATUS_OK and not request.mixed:
+            oldest = request.sent_at - CACHE_LIFE_SECONDS - STALE_SLACK_SECONDS
+            purged_at = self.records.newest_purge(request.path, request.sent_at - PURGE_SECONDS)
+            request.stale = origins.stale(request.path, answer.body, max(oldest, purged_at))
+
     @staticmethod
     def record_response(request: records.ClientRequest, answer: Answer) -> None:
         """Record the status of a response, whether an origin or the node made it, and any error code."""
--- a/src/irisstand/soak/final_check.py
+++ b/src/irisstand/soak/final_check.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from irisstand.soak import clients, fleet, records, schedule
+from irisstand.soak import clients, fleet, operator_client, records
 
 # Within this time after the last trouble, requests are served again.
 RECOVERY_SECONDS = 15.0
@@ -78,7 +78,7 @@
     ) -> None:
         """Record a node whose routes are missing or older than the accepted version."""
         versions = [route["version"] for route in configuration.get("routes", [])]
-        if len(versions) < len(schedule.ROUTE_KINDS) or min(versions) < accepted:
+        if len(versions) < len(operator_client.ROUTE_KINDS) or min(versions) < accepted:
             self.records.failed_checks.append(
                 f"{node.name} answered with versions {versions} of the routes, {accepted} was accepted"
             )
--- a/src/irisstand/soak/records.py
+++ b/src/irisstand/soak/records.py
@@ -1,7 +1,11 @@
 """Records of a soak run: work at origins, requests of clients, signals to processes; all times in seconds."""
 
+import collections
 import dataclasses
 import enum
+import typing
+
+from irisstand.emulators import object_records
 
 
 class RunEnd(enum.StrEnum):
@@ -11,6 +15,7 @@
     ANSWERED = "answered"
     CANCELLED = "cut off by the caller"
     TIMED_OUT = "at its deadline"
+    SPOILED = "cut off after the origin sent a response without an id"
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,6 +55,8 @@
         end: How the request ended.
         status: HTTP status of the response; 0 if there was none.
         code: Error code in the body of a node's own response; empty if there was none.
+        mixed: What shows that the response is not the request's own; empty if it is.
+        stale: What shows that the response is an old copy; empty if it is not.
     """
 
     request_id: str
@@ -63,6 +70,8 @@
     end: RequestEnd = RequestEnd.DEADLINE
     status: int = 0
     code: str = ""
+    mixed: str = ""
+    stale: str = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -86,6 +95,13 @@
     code: int | None = None
 
 
+class Purge(typing.NamedTuple):
+    """A purge of an object, with event loop times of its order and its confirmation."""
+
+    sent_at: float
+    confirmed_at: float
+
+
 @dataclasses.dataclass(slots=True)
 class Records:
     """Everything that is recorded during one run.
@@ -101,6 +117,9 @@
         changes: Number of configurations that the control plane accepted.
         peak_memory_mb: Largest resident memory of a process by role, in MB.
         peak_descriptors: Largest number of open descriptors of a process by role.
+        objects: Versions of objects, and the responses that origins gave.
+        purges: Confirmed purges of each object, by path, in the order of their confirmations.
+        surplus_count: Number of surplus responses that origins sent.
         longest_lag_seconds: Longest delay of the event loop that clients and origins share.
     """
 
@@ -114,8 +133,24 @@
     changes: int = 0
     peak_memory_mb: dict[str, float] = dataclasses.field(default_factory=dict)
     peak_descriptors: dict[str, int] = dataclasses.field(default_factory=dict)
+    objects: object_records.ObjectRecords = dataclasses.field(default_factory=object_records.ObjectRecords)
+    purges: collections.defaultdict[str, list[Purge]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+    surplus_count: int = 0
     longest_lag_seconds: float = 0.0
 
+    def newest_purge(self, path: str, confirmed_before: float) -> float:
+        """Return when the newest purge of an object was sent that was confirmed before a time; 0 if none."""
+        sent = [purge.sent_at for purge in self.purges[path] if purge.confirmed_at < confirmed_before]
+        return max(sent, default=0.0)
+
+    def note_spoiled(self, request_id: str, instance: str) -> None:
+        """Record that an origin itself gave the reason to cut off its newest execution of a request."""
+        for run in self.runs.get(request_id, [])[-1:]:
+            if run.instance == instance and run.end is RunEnd.CANCELLED:
+                run.end = RunEnd.SPOILED
+
     def add_run(self, run: OriginRun) -> None:
         """Record an execution at an origin under the id of its request."""
         self.runs.setdefault(run.request_id, []).append(run)
--- a/src/irisstand/soak/runner.py
+++ b/src/irisstand/soak/runner.py
@@ -10,11 +10,14 @@
 
 import aiohttp
 
+from irisstand.emulators import object_records
 from irisstand.soak import (
     clients,
     final_check,
     fleet,
     kills,
+    object_changes,
+    operator_client,
     records,
     schedule,
     shape,
@@ -42,12 +45,14 @@
         seconds: How long clients send requests in each run, in seconds.
         kills: Whether processes are killed, too, and lose their disks.
         series: Whether there are overlapping series of all actions, and clients that never pause.
+        stutter: Whether origins answer some requests more than once, while objects change and are purged.
     """
 
     edges: int | None
     seconds: float
     kills: bool
     series: bool
+    stutter: bool
 
 
 class SoakReport(typing.NamedTuple):
@@ -75,7 +80,7 @@
     Raises:
         TimeoutError: The control plane accepted no configuration, or the edges did not become ready in time.
     """
-    run_records = records.Records()
+    run_records = records.Records(objects=object_records.ObjectRecords(plan.object_bytes))
     origins = make_origins(plan, run_records)
     for origin in origins:
         await origin.start()
@@ -85,7 +90,7 @@
     timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_SECONDS)
     try:
         async with aiohttp.ClientSession(timeout=timeout) as session:
-            operator = schedule.Operator(plan, processes, session)
+            operator = operator_client.Operator(plan, processes, session)
             await processes.start_all()
             if not await operator.submit_configuration(is_first=True):
                 raise TimeoutError("no control plane node accepted the first configuration")
@@ -100,11 +105,17 @@
     return SoakReport(verdict.Verdict(run_records).violations, summarize(run_records))
 
 
-async def send_load(plan: shape.SoakShape, processes: fleet.Fleet, operator: schedule.Operator) -> None:
+async def send_load(
+    plan: shape.SoakShape, processes: fleet.Fleet, operator: operator_client.Operator
+) -> None:
     """Run all clients and the schedule of signals and changes at the same time."""
     end_at = asyncio.get_running_loop().time() + plan.seconds
     client_runs = [clients.Client(number, plan, processes).run(end_at) for number in range(plan.clients)]
-    troubles = [schedule.Schedule(plan, processes, operator).run(), kills.Kills(plan, processes).run()]
+    troubles = [
+        schedule.Schedule(plan, processes, operator).run(),
+        kills.Kills(plan, processes).run(),
+        object_changes.ObjectChanges(plan, processes, operator).run(),
+    ]
     await asyncio.gather(*troubles, *client_runs)
 
 
@@ -125,6 +136,8 @@
         "kills": len(run_records.kills),
         "SIGHUPs": run_records.sighups,
         "changes": run_records.changes,
+        "confirmed purges": sum(map(len, run_records.purges.values())),
+        "surplus responses": run_records.surplus_count,
         "longest event loop lag in seconds": round(run_records.longest_lag_seconds, 3),
         "peak resident MB by role": {role: round(used) for role, used in run_records.peak_memory_mb.items()},
         "peak descriptors by role": run_records.peak_descriptors,
@@ -148,9 +161,7 @@
             base = folder or stack.enter_context(tempfile.TemporaryDirectory(prefix="irisstand-soak-"))
             path = pathlib.Path(base) / f"seed-{seed}"
             path.mkdir(parents=True, exist_ok=True)
-            plan = shape.draw(
-                seed, options.edges, options.seconds, kills=options.kills, series=options.series
-            )
+            plan = shape.draw(seed, **options._asdict())
             print_line(f"seed {seed}: {plan}")
             report = asyncio.run(run_seed(plan, path))
         print_line(f"seed {seed}: {report.figures}")
--- a/src/irisstand/soak/shape.py
+++ b/src/irisstand/soak/shape.py
@@ -16,6 +16,10 @@
 SLOW_READER_SHARE = 0.3
 # Average time between two kills.
 SECONDS_PER_KILL = 5.0
+# With stuttering origins: the fraction of the requests that are answered more than once, and the average time
+# between two purges.
+STUTTER_SHARE = 0.3
+SECONDS_PER_PURGE = 0.1
 # Average time between two overlapping series, and the fraction of the clients that never pause.
 SECONDS_PER_SERIES = 4.0
 BUSY_CLIENT_SHARE = 0.5
@@ -58,6 +62,8 @@
         kills: Number of times that processes are to be sent SIGKILL.
         series: Number of series in which signals, restarts and changes follow one another and overlap.
         busy_clients: Number of clients that send on their open connection without a pause until it ends.
+        stutter_share: Fraction of the requests that origins answer more than once, the second time late.
+        purges: Number of objects that change and are purged.
     """
 
     seed: int
@@ -77,10 +83,18 @@
     kills: int = 0
     series: int = 0
     busy_clients: int = 0
+    stutter_share: float = 0.0
+    purges: int = 0
 
 
-def draw(
-    seed: int, edges: int | None, seconds: float, *, kills: bool = False, series: bool = False
+def draw(  # noqa: PLR0913 - the kinds of trouble are independent of each other
+    seed: int,
+    edges: int | None,
+    seconds: float,
+    *,
+    kills: bool = False,
+    series: bool = False,
+    stutter: bool = False,
 ) -> SoakShape:
     """Draw the parameters of a run from its seed.
 
@@ -90,6 +104,7 @@
         seconds: How long clients send requests, in seconds.
         kills: Whether processes are killed, too, and lose their disks.
         series: Whether there are overlapping series, and clients that never pause.
+        stutter: Whether origins answer some requests more than once, while objects change and are purged.
     """
     randomness = random.Random(seed)
     count = edges or randomness.choice((5, 8, 12, 16))
@@ -113,4 +128,6 @@
         kills=max(3, round(seconds / SECONDS_PER_KILL)) if kills else 0,
         series=max(2, round(seconds / SECONDS_PER_SERIES)) if series else 0,
         busy_clients=int(3 * count * BUSY_CLIENT_SHARE) if series else 0,
+        stutter_share=STUTTER_SHARE if stutter else 0.0,
+        purges=round(seconds / SECONDS_PER_PURGE) if stutter else 0,
     )
--- a/src/irisstand/soak/slow_origin.py
+++ b/src/irisstand/soak/slow_origin.py
@@ -1,15 +1,16 @@
 """Slow HTTP/1.1 origins that record each execution of a request, and a platform that lists the origins."""
 
 import asyncio
-import hashlib
 import json
 import random
 import typing
 
-from irisstand.dataplane.cache import objects
-from irisstand.soak import records, shape
+from irisstand.emulators import object_records, surplus_responses
+from irisstand.soak import records, shape, stuttering_connection
 
 HEAD_END = b"\r\n\r\n"
+HEALTH_TARGET = "/health"
+OBJECT_PREFIX = "/objects/"
 # Requests that wait at an origin for one of its slots; the origin rejects further ones with status 503.
 QUEUE_LIMIT = 64
 Headers = dict[str, str]
@@ -37,6 +38,13 @@
     return "\r\n".join([*lines, f"content-length: {len(body)}", "", ""]).encode("latin-1") + body
 
 
+class Reply(typing.NamedTuple):
+    """What an origin sends back, and the response in it if the request was executed."""
+
+    data: bytes
+    response: object_records.OriginResponse | None = None
+
+
 class LoopbackServer:
     """Base class of TCP servers on 127.0.0.1.
 
@@ -77,6 +85,8 @@
         slot_count: Number of requests that the instance works on at the same time.
         accepted_requests: Number of requests that are waiting for a slot or have one.
         records: Where each execution of a request is recorded.
+        instance_header: Header that names the instance.
+        randomness: Source of the surplus responses.
     """
 
     def __init__(self, service: str, instance: str, site: str, plan: shape.SoakShape, slots: int) -> None:
@@ -90,6 +100,8 @@
         self.slot_count = slots
         self.accepted_requests = 0
         self.records: records.Records = records.Records()
+        self.instance_header = {"x-instance": instance}
+        self.randomness = random.Random(f"{plan.seed} {instance}")
 
     def platform_entry(self) -> dict[str, typing.Any]:
         """Return the entry of this instance in the platform's list of origins."""
@@ -111,29 +123,44 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Respond to the requests of one connection, one after another, until the connection closes."""
+        connection = stuttering_connection.StutteringConnection(writer)
         try:
             while True:
                 request = parse_head((await reader.readuntil(HEAD_END))[: -len(HEAD_END)])
                 await reader.readexactly(int(request.headers.get("content-length", "0")))
-                response = await self.respond(reader, request)
-                if response is None:
+                connection.send_postponed()
+                reply = await self.respond(reader, request)
+                if reply is None:
+                    if connection.is_spoiled:
+                        self.records.note_spoiled(request.headers.get("x-request-id", ""), self.instance)
                     return
-                writer.write(response)
+                writer.write(reply.data)
                 await writer.drain()
+                if reply.response is not None:
+                    self.stutter(connection, reply.response)
         except (OSError, asyncio.IncompleteReadError, ValueError):
             pass
         finally:
             writer.close()
 
-    async def respond(self, reader: asyncio.StreamReader, request: ReceivedRequest) -> bytes | None:
+    def stutter(
+        self, connection: stuttering_connection.StutteringConnection, response: object_records.OriginResponse
+    ) -> None:
+        """Send or prepare the surplus responses that follow a response."""
+        for surplus in surplus_responses.draw(self.randomness, self.plan.stutter_share):
+            data = surplus_responses.encode_surplus(response, surplus.kind, self.instance_header)
+            is_without_id = surplus.kind is surplus_responses.SurplusKind.WITHOUT_ID
+            connection.add(data, surplus.delay_seconds, spoils=is_without_id or not response.request_id)
+            self.records.surplus_count += 1
+
+    async def respond(self, reader: asyncio.StreamReader, request: ReceivedRequest) -> Reply | None:
         """Execute a request and return its response; None if the caller disconnected in the meantime."""
-        instance_header = {"x-instance": self.instance}
-        if request.target == "/health":
-            return encode_response(200, instance_header)
+        if request.target == HEALTH_TARGET:
+            return Reply(encode_response(200, self.instance_header))
         request_id = request.headers.get("x-request-id", "")
-        response_headers = {**instance_header, "x-request-id": request_id} if request_id else instance_header
+        id_header = {"x-request-id": request_id} if request_id else {}
         if self.accepted_requests >= self.slot_count + QUEUE_LIMIT:
-            return encode_response(503, {**response_headers, "x-not-run": "1"})
+            return Reply(encode_response(503, {**self.instance_header, **id_header, "x-not-run": "1"}))
         # Callers send nothing before the response, so this read ends only when they disconnect.
         closed = asyncio.ensure_future(reader.read(1))
         work = asyncio.ensure_future(self.work(request, request_id))
@@ -141,14 +168,16 @@
             await asyncio.wait([closed, work], return_when=asyncio.FIRST_COMPLETED)
             if not work.done():
                 return None
-            return self.encode_result(work.result(), response_headers)
+            response = work.result()
+            self.records.objects.add(response)
+            return Reply(surplus_responses.encode(response, self.instance_header), response)
         finally:
             for task in (closed, work):
                 task.cancel()
             await asyncio.gather(closed, work, return_exceptions=True)
 
-    async def work(self, request: ReceivedRequest, request_id: str) -> int:
-        """Wait for a slot, work on a request and return the status of the response."""
+    async def work(self, request: ReceivedRequest, request_id: str) -> object_records.OriginResponse:
+        """Wait for a slot, work on a request and return the response."""
         loop = asyncio.get_running_loop()
         seconds_to_deadline = int(request.headers.get("x-remaining-ms", "60000")) / 1000
         deadline = loop.time() + seconds_to_deadline
@@ -159,11 +188,15 @@
         finally:
             self.accepted_requests -= 1
 
-    async def run(self, request: ReceivedRequest, request_id: str, deadline: float) -> int:
-        """Work on a request until it is done, cancelled or at its deadline; return the response status."""
+    async def run(
+        self, request: ReceivedRequest, request_id: str, deadline: float
+    ) -> object_records.OriginResponse:
+        """Work on a request until it is done, cancelled or at its deadline; return the response."""
         loop = asyncio.get_running_loop()
         run = records.OriginRun(request_id, self.instance, request.target, loop.time())
         self.records.add_run(run)
+        # An object is read when the work on the request begins.
+        response = self.response_to(request, request_id)
         work_seconds_needed = self.work_seconds(request)
         remaining_seconds = max(0.0, deadline - loop.time())
         try:
@@ -176,15 +209,21 @@
         run.end = (
             records.RunEnd.ANSWERED if work_seconds_needed <= remaining_seconds else records.RunEnd.TIMED_OUT
         )
-        return 200 if work_seconds_needed <= remaining_seconds else 504
-
-    def encode_result(self, status: int, response_headers: Headers) -> bytes:
-        """Return the response to a request that was executed, with a body digest that nodes can check."""
-        seed = hashlib.sha256(self.instance.encode()).hexdigest().encode()
-        body = (seed * (self.plan.object_bytes // len(seed) + 1))[: self.plan.object_bytes]
-        return encode_response(
-            status, {**response_headers, "content-digest": objects.digest_header(body)}, body
-        )
+        if run.end is records.RunEnd.TIMED_OUT:
+            return response._replace(status=504, body=self.records.objects.pad("too late"), version=0)
+        return response
+
+    def response_to(self, request: ReceivedRequest, request_id: str) -> object_records.OriginResponse:
+        """Return the response to a request that is executed now."""
+        origins = self.records.objects
+        if not request.target.startswith(OBJECT_PREFIX):
+            body = origins.pad(f"{request.target} run for {request_id}")
+            return object_records.OriginResponse(request_id, request.target, 200, body)
+        version = origins.version(request.target)
+        is_current = request.headers.get("if-none-match") == f'"{version}"'
+        body = b"" if is_current else origins.object_body(request.target, version)
+        status = 304 if is_current else 200
+        return object_records.OriginResponse(request_id, request.target, status, body, version)
 
 
 class Platform(LoopbackServer):
--- a/src/irisstand/soak/verdict.py
+++ b/src/irisstand/soak/verdict.py
@@ -51,6 +51,7 @@
         for request in run_records.requests:
             self.check_write(request)
             self.check_request(request)
+            self.check_response(request)
         for stop in run_records.stops.values():
             self.check_stop(stop)
         self.violations += [
@@ -71,6 +72,15 @@
         if request.end is records.RequestEnd.NODE_RESPONSE and request.status in NOT_RUN_STATUSES:
             self.add_violation("a write ran although the response says it did not", request, runs)
 
+    def check_response(self, request: records.ClientRequest) -> None:
+        """Check that a response is the request's own, and no old copy, by what the origins recorded."""
+        where = f"{request.request_id} {request.path} at {request.edge}"
+        if request.mixed:
+            detail = f"{where}: {request.mixed}"
+            self.violations.append(Violation("a response was not the request's own", detail))
+        if request.stale:
+            self.violations.append(Violation("an old copy was served", f"{where}: {request.stale}"))
+
     def check_request(self, request: records.ClientRequest) -> None:
         """Check that a request without an origin's response was not lost before its deadline."""
         if request.end in (records.RequestEnd.ANSWERED, records.RequestEnd.DEADLINE):
@@ -89,6 +99,8 @@
     @staticmethod
     def is_abandoned(run: records.OriginRun, request: records.ClientRequest) -> bool:
         """Return whether an origin was cancelled or still working when the node responded by itself."""
+        if run.end is records.RunEnd.SPOILED:
+            return False
         if run.end is records.RunEnd.CANCELLED:
             return True
         return run.end is records.RunEnd.RUNNING or run.ended_at > request.ended_at + RESPONSE_MARGIN_SECONDS
--- a/tests/programs/test_soak.py
+++ b/tests/programs/test_soak.py
@@ -50,6 +50,7 @@
             "node responded by itself while an origin was working, stopping edge",
         ),
         (make_request(NODE_RESPONSE, 100.2, 503), None, None, None),
+        (make_request(NODE_RESPONSE, 100.7, 502), make_run(100.7, records.RunEnd.SPOILED), None, None),
         (make_request(NODE_RESPONSE, 109.95, 504), make_run(109.95, CANCELLED), None, None),
         (make_request(CLOSED, 100.7), None, None, "connection closed without a whole response, running edge"),
         (make_request(CLOSED, 100.1), None, None, None),
@@ -111,3 +112,21 @@
     report = asyncio.run(runner.run_seed(plan, tmp_path))
     assert report.violations == []
     assert int(str(report.figures["kills"])) >= 3
+
+
+def test_each_answer_is_its_requests_own_and_no_old_copy_while_origins_answer_twice(tmp_path):
+    """Guards against MIXED and STALE, by what the origins recorded."""
+    plan = shape.draw(901, 8, CI_SECONDS, series=True, stutter=True)
+    report = asyncio.run(runner.run_seed(plan, tmp_path))
+    assert report.violations == []
+    assert int(str(report.figures["surplus responses"])) > 50
+    assert int(str(report.figures["confirmed purges"])) > 50
+
+
+def test_answer_of_another_request_and_an_old_copy_are_violations():
+    fine = make_request(records.RequestEnd.ANSWERED, 100.7, 200)
+    assert violations(fine) == []
+    fine.mixed = "another body"
+    assert violations(fine) == ["a response was not the request's own"]
+    fine.mixed, fine.stale = "", "version 1"
+    assert violations(fine) == ["an old copy was served"]
