--- a/src/irisstand/cli/develop.py
+++ b/src/irisstand/cli/develop.py
@@ -83,7 +83,7 @@
 )
 @click.option("--workers", type=click.IntRange(1, 256), default=4, help="How many processes simulate days.")
 @click.option("--log", is_flag=True, help="Print each day's faults with their virtual time.")
-@click.option("--kind", default="busy", metavar="NAME", help="Kind: busy, kildespor, quiet, dark or planned.")
+@click.option("--kind", default="busy", metavar="NAME", help="Kind of day, such as busy or stuttering.")
 def simulate(  # noqa: PLR0913 - click passes each option as an argument
     *, first: int, days: int, seconds: float, workers: int, log: bool, kind: str
 ) -> None:
--- a/src/irisstand/simulator/day_kinds.py
+++ b/src/irisstand/simulator/day_kinds.py
@@ -67,6 +67,11 @@
     "dark": DayKind(
         faults=("total-loss", "gone-after-yes", "kill", "wipe", "split", "stall"), pauses=(1.0, 5.0)
     ),
+    # Origins answer twice, late, while they are slow, fail and move, and while nodes are lost.
+    "stuttering": DayKind(
+        faults=("origin-stutter", "origin-stutter", "origin-slow", "origin-fault", "kill", "split"),
+        pauses=(0.3, 2.0),
+    ),
     # Planned operations all day: graceful restarts, evacuations of sites, replaced machines and origins.
     "planned": DayKind(
         faults=("roll", "drain", "evacuate", "core-replaced", "origin-leaves", "origins-replaced", "split"),
--- a/src/irisstand/simulator/fault_injector.py
+++ b/src/irisstand/simulator/fault_injector.py
@@ -10,8 +10,10 @@
     **node_faults.REGISTRY,
     **origin_faults.REGISTRY,
     **cluster_faults.REGISTRY,
+    **origin_faults.SPECIAL_REGISTRY,
 }
-DEFAULT_KINDS = tuple(kind for kind in REGISTRY if kind != "total-loss")
+NOT_BY_DEFAULT = ("total-loss", *origin_faults.SPECIAL_REGISTRY)
+DEFAULT_KINDS = tuple(kind for kind in REGISTRY if kind not in NOT_BY_DEFAULT)
 DEFAULT_PAUSES_SECONDS = (0.5, 3.0)
 EXCLUSIVE_FAULT_POLL_SECONDS = 0.5
 # No fault begins in the last so many seconds of a day.
@@ -24,7 +26,7 @@
     Args:
         cluster: Cluster into which the faults are injected.
         randomness: Random generator for kinds, targets and times.
-        kinds: Names of the kinds to choose from; empty means all but the total loss of the cluster.
+        kinds: Names of the kinds to choose from; empty means all but those in `NOT_BY_DEFAULT`.
         pauses: Shortest and longest pause between two faults, in virtual seconds.
     """
 
--- a/src/irisstand/simulator/origin_faults.py
+++ b/src/irisstand/simulator/origin_faults.py
@@ -28,6 +28,15 @@
     origin.faults.discard(kind)
 
 
+async def stutter(faults: fault_context.FaultContext) -> None:
+    """Have a random origin answer each request twice for a while, the second time late."""
+    origin = faults.randomness.choice(faults.cluster.actors.origins)
+    faults.record("origin-stutter", origin.instance)
+    origin.faults.add("stutter")
+    await faults.pause(1, 6)
+    origin.faults.discard("stutter")
+
+
 async def slow_down(faults: fault_context.FaultContext) -> None:
     """Slow down all origins of a service, so that purges and expiry coincide with responses in flight."""
     service = faults.randomness.choice(SERVICES)
@@ -111,6 +120,8 @@
         actors.origins.append(successor)
 
 
+# Kinds of faults that only days of a kind of their own draw.
+SPECIAL_REGISTRY: dict[str, fault_context.Fault] = {"origin-stutter": stutter}
 # Kinds of faults by name. A changed order would change which faults a seed draws.
 REGISTRY: dict[str, fault_context.Fault] = {
     "origin-down": stop,
--- a/tests/simulator/test_simulated_days.py
+++ b/tests/simulator/test_simulated_days.py
@@ -36,6 +36,7 @@
     "dark": BUSY_INVARIANTS,
     "planned": BUSY_INVARIANTS | PLANNED_INVARIANTS,
     "kildespor": BUSY_INVARIANTS,
+    "stuttering": BUSY_INVARIANTS,
     "quiet": {"a machine on standby leaves enough capacity for any one further loss"},
 }
 RECOVERY_INVARIANT = "after a total loss service is back within 15 s"
@@ -62,6 +63,8 @@
     ("busy", 20, 30),
     ("busy", 25, 20),
     ("busy", 26, 30),
+    ("stuttering", 1, 30),
+    ("stuttering", 2, 30),
     ("dark", 2, 30),
     ("dark", 5, 30),
     ("dark", 8, 30),
