--- a/src/irisstand/soak/records.py
+++ b/src/irisstand/soak/records.py
@@ -147,8 +147,9 @@
 
     def note_spoiled(self, request_id: str, instance: str) -> None:
         """Record that an origin itself gave the reason to cut off its newest execution of a request."""
-        for run in self.runs.get(request_id, [])[-1:]:
-            if run.instance == instance and run.end is RunEnd.CANCELLED:
+        own_runs = [run for run in self.runs.get(request_id, []) if run.instance == instance]
+        for run in own_runs[-1:]:
+            if run.end is RunEnd.CANCELLED:
                 run.end = RunEnd.SPOILED
 
     def add_run(self, run: OriginRun) -> None:
--- a/tests/programs/test_soak.py
+++ b/tests/programs/test_soak.py
@@ -130,3 +130,13 @@
     assert violations(fine) == ["a response was not the request's own"]
     fine.mixed, fine.stale = "", "version 1"
     assert violations(fine) == ["an old copy was served"]
+
+
+def test_run_that_its_origin_spoiled_is_excused_though_another_origin_ran_the_request_later():
+    run_records = records.Records(requests=[make_request(NODE_RESPONSE, 100.7, 502)])
+    for instance in ("app-1", "app-2"):
+        run_records.add_run(records.OriginRun("r1", instance, "/x", 100.1, 100.2, CANCELLED))
+    run_records.note_spoiled("r1", "app-1")
+    assert len(verdict.Verdict(run_records).violations) == 1
+    run_records.note_spoiled("r1", "app-2")
+    assert verdict.Verdict(run_records).violations == []
