--- a/tests/tools/test_worst_days.py
+++ b/tests/tools/test_worst_days.py
@@ -37,3 +37,12 @@
     )
     assert departures["at"] + departures["for_s"] >= worst_days.LAST_FAULT_AT
     assert len(day["faults"]) + len(day["plan"]) >= 4
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_origins_of_objects_answer_twice_beside_purges_on_each_day_of_late_responses(seed):
+    services = [{"name": "search"}, {"name": "blobs", "model": "origin"}]
+    day = worst_days.draw_day({**SITE, "services": services}, "late-responses", seed)
+    (late,) = [entry for entry in day["faults"] if entry["kind"] == "garble"]
+    assert (late["service"], late["how"]) == ("blobs", "extra late")
+    assert {"purge_storm", "purge"} <= {entry["kind"] for entry in day["plan"]}
--- a/tools/fault_themes.py
+++ b/tools/fault_themes.py
@@ -19,11 +19,13 @@
         kind: Name of the kind in the bench.
         fields: Draws the fields of one entry, other than its kind and time.
         is_planned: Whether the entry belongs to the day's list "plan" instead of its list "faults".
+        is_at_objects: Whether the entry concerns only the service whose origins serve objects.
     """
 
     kind: str
     fields: DrawFields
     is_planned: bool = False
+    is_at_objects: bool = False
 
 
 def draw_between(low: float, high: float) -> typing.Callable[[random.Random], float]:
@@ -78,13 +80,23 @@
     drawn_fault("purge_storm", "", "tag", is_planned=True, for_s=(1.5, 4), gap_s=(0.04, 0.2)),
     drawn_fault("evacuate", "", "warm", is_planned=True, for_s=(3, 8)),
 ]
+# Origins that answer twice, the second time late; slow ones, so that objects are purged during fetches.
+LATE_RESPONSES = [
+    drawn_fault("garble", "extra late", share=(0.7, 1.0), x=(0.3, 0.9), for_s=(22, 28))._replace(
+        is_at_objects=True
+    ),
+    drawn_fault("srv_slow", share=(0.7, 1.0), x=(3, 8), for_s=(15, 24)),
+    drawn_fault("purge_storm", is_planned=True, for_s=(22, 28), gap_s=(0.01, 0.04)),
+    drawn_fault("purge", "", "tag", is_planned=True, count=(100, 250), gap_s=(0.08, 0.12)),
+]
 # Faults that every day of a theme has, from `worst_days.FIRST_FAULT_AT` on. The theme of clients that give up
 # has slow origins, too: work at a fast origin ends before it can be seen to go on after its client has left.
 FIXED_FAULTS: dict[str, list[Fault]] = {
     "departures": [
         drawn_fault("give_up", share=(0.2, 0.5), x=(100, 300), for_s=(20, 26)),
         drawn_fault("srv_slow", share=(0.3, 0.5), x=(5, 8), for_s=(18, 24)),
-    ]
+    ],
+    "late-responses": LATE_RESPONSES,
 }
 # Kinds of faults and planned work of each theme, two to four of which are drawn for a day.
 THEMES: dict[str, list[Fault]] = {
@@ -164,6 +176,14 @@
         drawn_fault("roll_term", "busy", is_planned=True, share=(0.2, 0.6), x=(1, 2), gap_s=(0.8, 1.5)),
         drawn_fault("idle_race", share=(0.3, 0.8), x=(100, 400), for_s=(5, 9)),
     ],
+    "late-responses": [
+        drawn_fault("config_storm", is_planned=True, for_s=(4, 9), gap_s=(0.06, 0.2)),
+        drawn_fault("config_change", "timeout", "route", is_planned=True),
+        drawn_fault("srv_crash", "", "dark", share=(0.1, 0.3), for_s=(2, 5)),
+        drawn_fault("reset_conns", "", share=(0.1, 0.5), x=(0.3, 0.9)),
+        drawn_fault("replace_with_reuse", "", "drain", share=(0.1, 0.3)),
+        drawn_fault("node_kill", share=(0.1, 0.2), for_s=(1, 3)),
+    ],
     "others": [
         drawn_fault("srv_slow", "", "across", share=(0.1, 0.4), x=(3, 6), for_s=(3, 6)),
         drawn_fault(
--- a/tools/worst_days.py
+++ b/tools/worst_days.py
@@ -63,10 +63,12 @@
     day = {key: value for key, value in quiet_day.items() if key not in ("plan", "faults", "small")}
     day.update(name=f"worst-{theme}-{seed}", slot="trouble", seed=randomness.randrange(1, 2**31), light=False)
     plan: list[Day] = [{"at": 2.0, "kind": "config_change", "how": "idle"}]
-    faults: list[Day] = [
-        {"at": FIRST_FAULT_AT, "kind": fault.kind, **fault.fields(randomness)}
-        for fault in fault_themes.FIXED_FAULTS.get(theme, [])
-    ]
+    faults: list[Day] = []
+    for fault in fault_themes.FIXED_FAULTS.get(theme, []):
+        entry = {"at": FIRST_FAULT_AT, "kind": fault.kind, **fault.fields(randomness)}
+        if fault.is_at_objects:
+            entry |= object_service(site)
+        (plan if fault.is_planned else faults).append(entry)
     chosen = randomness.sample(candidates, min(len(candidates), randomness.choice((2, 3, 3, 4))))
     chosen += randomness.sample(fault_themes.CONFIGURATION_CHANGES, randomness.choice((1, 2)))
     for fault in chosen:
@@ -79,6 +81,12 @@
     return day
 
 
+def object_service(site: Day) -> Day:
+    """Return the field that names the first service of a site whose origins serve objects, if any."""
+    names = [service["name"] for service in site.get("services", []) if service.get("model") == "origin"]
+    return {"service": names[0]} if names else {}
+
+
 def draw_entries(fault: fault_themes.Fault, randomness: random.Random, catch_up_seconds: float) -> list[Day]:
     """Draw one to three successive entries of a kind of fault."""
     entries: list[Day] = []
