--- a/src/irisstand/simulator/simulated_origins.py
+++ b/src/irisstand/simulator/simulated_origins.py
@@ -24,8 +24,7 @@
         warmup: Listed length of its warm-up, in seconds.
         generation: Number of crashes so far; connections that were opened before the last one are broken.
         delay: Time to execute one request, in seconds.
-        faults: Names of the faults of its responses, see `apply_faults`; with "stutter", each response is
-            followed by a second one, which the next request on the connection gets.
+        faults: Names of the faults of its responses: see `apply_faults`; "stutter": see `surplus_response`.
         started: Virtual time and request id of each request that it began to execute.
         work_periods: Start and end of the execution of each request, which goes on when its client has left.
         warmup_periods: Start and length of each warm-up, in virtual seconds.
@@ -129,8 +128,10 @@
         return connections.Answer(status, headers, content)
 
 
-def surplus_response(response: connections.Answer) -> connections.Answer:
-    """Return the second response to a request, which bears its id and a body of its own."""
+def surplus_response(response: connections.Answer, number: int) -> connections.Answer:
+    """Return the second response to a request, which the next one gets: each second time unlike the first."""
+    if number % 2 == 0:
+        return response
     body = b"{}"
     headers = {**response.headers, "content-length": str(len(body))}
     if "content-digest" in headers:
@@ -219,9 +220,7 @@
         self.backlog.append(response)
         future.set_result(self.backlog.popleft())
         if "stutter" in self.origin.faults:
-            # Every other time the second response is like the first.
-            is_like_first = len(self.origin.started) % 2 == 0
-            self.backlog.append(response if is_like_first else surplus_response(response))
+            self.backlog.append(surplus_response(response, len(self.origin.started)))
 
     def is_partitioned(self) -> bool:
         """Return whether a partition separates this host from the origin."""
