--- a/tests/programs/test_process_ends.py
+++ b/tests/programs/test_process_ends.py
@@ -25,7 +25,7 @@
     )
     return context, nothing
 
-running.end_process(running.run(types.SimpleNamespace(farewell=0.1, drain=0.5), assemble))
+running.end_process(running.run(types.SimpleNamespace(farewell=0.1, drain=0.5, printed_events=()), assemble))
 """
 
 
--- a/tests/programs/test_shutdown.py
+++ b/tests/programs/test_shutdown.py
@@ -28,7 +28,7 @@
     )
     return context, nothing
 
-sys.exit(running.run(types.SimpleNamespace(farewell=0.1, drain=0.5), assemble))
+sys.exit(running.run(types.SimpleNamespace(farewell=0.1, drain=0.5, printed_events=()), assemble))
 """
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 # The same program without the stuck thread, and with signals while the interpreter is finalized.
