Connections to peers: one that waits for its next response keeps the last one no longer

Cause: the loop that reads responses kept the last message in a variable until the next one came; the same class as the last piece of a body that is held whole. A response between nodes may have some MB, and each connection kept one.

Change: the message is delivered without a variable.

Result: the new test was red before (0 of 1 freed), green now. How much memory this saves was not measured.

--- a/src/irisstand/transport/peer_connection.py
+++ b/src/irisstand/transport/peer_connection.py
@@ -107,9 +107,8 @@
         """Read responses until the connection ends, or until no call is pending if it closes when idle."""
         try:
             while self.pending or not self.closes_when_idle:
-                message = codec.decode(await self.stream.read())
-                self.last_received_at = asyncio.get_running_loop().time()
-                self._deliver(message)
+                # No variable keeps a response while this waits for the next one.
+                self._deliver(codec.decode(await self.stream.read()))
         except OSError:
             pass
         except errors.MalformedFrameError as error:
@@ -118,6 +117,7 @@
             self.close()
 
     def _deliver(self, message: codec.Message) -> None:
+        self.last_received_at = asyncio.get_running_loop().time()
         if not isinstance(message, codec.Response | codec.ErrorResponse):
             raise errors.MalformedFrameError("the message is neither a response nor an error")
         response = self.pending.pop(message.number, None)
