Object holders: a read counts as work from its acceptance to its reply

A draining holder ended 0.48 s into its drain, at the instant a fetch of its read had ended and the next one of the same read began, because of a purge: event `drained` with in_flight 0, 0.06 ms after `copy-fetched`. The origin's run was cut off, the edge's own fetch found the rate limit used up, and the client got 503 over-ceiling after 2.05 of 9.90 s.

Cause: a holder counted each fetch as work, not the read; between two fetches, and while it waited for a newer configuration, a drain found nothing in flight.

Change: the whole object request counts.

Result: the new test was red before (at one of 50 steps of the event loop no work was in flight), green now; the mutation that takes the line out is detected.

--- a/src/irisstand/dataplane/cache/object_server.py
+++ b/src/irisstand/dataplane/cache/object_server.py
@@ -45,8 +45,10 @@
         message = holder_messages.ObjectRequest.from_wire(body)
         if self.context.is_draining:
             raise errors.DrainingError("this holder is shutting down")
-        await self.catch_up(message.configuration_version)
-        content = await self.reader.read(self.lookup_for(message), message.minimum_version)
+        # A drain waits for the whole read, also between two fetches of it.
+        with self.context.count_in_flight():
+            await self.catch_up(message.configuration_version)
+            content = await self.reader.read(self.lookup_for(message), message.minimum_version)
         if not isinstance(content.body, bytes):
             if not isinstance(content.body, stored_body.StoredBody):
                 content.body.close()
--- a/tests/dataplane/test_object_holders.py
+++ b/tests/dataplane/test_object_holders.py
@@ -11,6 +11,8 @@
 from irisstand.simulator import virtual_time
 from irisstand.state import items
 
+LOOP_STEPS = 50
+
 
 class Site:
     """Edges and holders that call each other's handlers without a network; `silent_nodes` never reply."""
@@ -213,3 +215,29 @@
         return cancelled_runs, site.sent()
 
     assert run_scenario(scenario) == ([[False], [True]], {"holder-1": 1})
+
+
+def test_holder_that_fetches_a_purged_object_again_has_work_in_flight_without_a_gap():
+    async def scenario(site):
+        holder = site.nodes["holder-1"]
+        # What a drain of the holder would see, at each step of the event loop after the first fetch.
+        is_busy = []
+
+        async def watch():
+            for _ in range(LOOP_STEPS):
+                is_busy.append(bool(holder.context.in_flight))
+                await asyncio.sleep(0)
+
+        async def purge_during_first_fetch(key, headers, body):
+            await asyncio.sleep(0.1)
+            if len(holder.sent) == 1:
+                site.put(items.LEDGER, "purge/path/h/objects/1", {"purge": "path"}, "holder-1")
+                holder.watching = asyncio.create_task(watch())
+            return complete_answer(headers["x-request-id"], b"n%d" % len(holder.sent))
+
+        holder.respond = purge_during_first_fetch
+        response = await site.nodes["edge-1"].ask("/objects/1")
+        await holder.watching
+        return response.body, len(is_busy), all(is_busy)
+
+    assert run_scenario(scenario) == (b"n2", LOOP_STEPS, True)
--- a/tests/mutation/shutdown_mutations.py
+++ b/tests/mutation/shutdown_mutations.py
@@ -2,6 +2,12 @@
 # ruff: noqa: E501
 
 MUTATIONS = [
+    (
+        "dataplane/cache/object_server.py",
+        "        with self.context.count_in_flight():\n",
+        "        if True:\n",
+        "dataplane/test_object_holders.py",
+    ),
     (
         "dataplane/retry/holder_policy.py",
         "        return self.wait() if self.is_holder_asked else actions.Reject(error)",
