Soak: a run that was cancelled as its hedge was answered is no lost work

Change: a cancelled run counts as lost work unless another run of the same request, begun before, was answered within the margin that the check uses already (20 ms). Anything else is judged as before; no bound moved.

--- a/src/irisstand/soak/verdict.py
+++ b/src/irisstand/soak/verdict.py
@@ -93,7 +93,7 @@
         if request.end is records.RequestEnd.CLOSED:
             if runs or request.ended_at - request.sent_at > CROSSING_CLOSE_SECONDS:
                 self.add_violation("connection closed without a whole response", request, runs)
-        elif any(self.is_abandoned(run, request) for run in runs):
+        elif any(self.is_abandoned(run, request) for run in runs if not is_lost_hedge(run, runs)):
             self.add_violation("node responded by itself while an origin was working", request, runs)
 
     @staticmethod
@@ -163,3 +163,13 @@
             f"of {request.deadline_at - request.sent_at:.2f} s [{runs_text}]"
         )
         self.violations.append(Violation(f"{kind}, {phase.split(',')[0]}", detail))
+
+
+def is_lost_hedge(run: records.OriginRun, runs: list[records.OriginRun]) -> bool:
+    """Return whether a run was cancelled as another run of the same request had just been answered."""
+    return run.end is records.RunEnd.CANCELLED and any(
+        other.end is records.RunEnd.ANSWERED
+        and other.began_at < run.ended_at
+        and abs(other.ended_at - run.ended_at) <= RESPONSE_MARGIN_SECONDS
+        for other in runs
+    )
--- a/tests/programs/test_soak.py
+++ b/tests/programs/test_soak.py
@@ -140,3 +140,11 @@
     assert len(verdict.Verdict(run_records).violations) == 1
     run_records.note_spoiled("r1", "app-2")
     assert verdict.Verdict(run_records).violations == []
+
+
+@pytest.mark.parametrize(("answered_at", "count"), [(100.19, 0), (100.21, 0), (100.4, 1), (100.12, 1)])
+def test_run_that_was_cancelled_as_its_hedge_answered_is_no_lost_work(answered_at, count):
+    run_records = records.Records(requests=[make_request(NODE_RESPONSE, 103.0, 503)])
+    run_records.add_run(records.OriginRun("r1", "content-1", "/x", 100.1, 100.2, CANCELLED))
+    run_records.add_run(records.OriginRun("r1", "content-2", "/x", 100.0, answered_at, ANSWERED))
+    assert len(verdict.Verdict(run_records).violations) == count
