--- a/src/irisstand/dataplane/cache/object_reader.py
+++ b/src/irisstand/dataplane/cache/object_reader.py
@@ -6,12 +6,18 @@
 import functools
 import typing
 
-from irisstand import errors, event_log, node_context
-from irisstand.dataplane.cache import object_cache, object_lookup, objects, request_coalescer, stored_body
-from irisstand.dataplane.http import header_names
+from irisstand import errors, node_context
+from irisstand.dataplane.cache import (
+    fetched_objects,
+    object_cache,
+    object_lookup,
+    objects,
+    request_coalescer,
+    stored_body,
+)
 from irisstand.dataplane.retry import freshness_policy
 from irisstand.dataplane.routing import configuration_view
-from irisstand.dataplane.upstream import client, exchange, response_stream
+from irisstand.dataplane.upstream import client, response_stream
 from irisstand.http1 import body_source
 from irisstand.state import versions
 
@@ -197,34 +203,10 @@
         else:
             if answer.status != STATUS_OK or "set-cookie" in answer.headers:
                 ttl = 0.0
-            fetched = self.object_from(answer, applied, sent_at, ttl)
-        self.record_fetched(lookup, answer.status, fetched)
+            fetched = fetched_objects.from_answer(self.header_names, answer, applied, sent_at, ttl)
+        fetched_objects.record(self.header_names, lookup, answer.status, fetched)
         return fetched
 
-    def record_fetched(
-        self, lookup: object_lookup.ObjectLookup, status: int, fetched: objects.CachedObject
-    ) -> None:
-        """Record when and at which version a copy was fetched, under the id of which request."""
-        event_log.record(
-            "copy-fetched",
-            key=lookup.key,
-            request_id=lookup.request.headers.get(self.header_names.request_id, ""),
-            status=status,
-            sent_at=fetched.as_of,
-            applied=str(fetched.applied),
-            etag=object_lookup.etag_of(fetched) or "",
-            ttl=fetched.ttl,
-        )
-
-    def object_from(
-        self, answer: exchange.Answer, applied: versions.Version, sent_at: float, ttl: float
-    ) -> objects.CachedObject:
-        """Make a cached object from an origin's response, without the header that repeats the request id."""
-        names = self.header_names
-        headers = tuple((name, value) for name, value in answer.headers.items() if name != names.request_id)
-        tags = header_names.split_tags(names, answer.headers.get(names.tags, ""))
-        return objects.CachedObject(answer.status, headers, answer.body, applied, 0.0, sent_at, ttl, tags)
-
 
 def is_taken(body: bytes | stored_body.StoredBody | body_source.BodySource) -> bool:
     """Return whether a fetched body can't be used, as another request passes it on, or the cache freed it."""
