Object holders: one that drains hands a read back instead of fetching it again

A holder drained for its whole 5.2 s over one read, which it fetched six times, as purges of the object outran each fetch; the sixth was cut off at the end of the drain. The edge's own fetch then found the rate limit used up: 503 over-ceiling after 5.46 of 9.90 s, with an origin at work.

Cause: a holder decides once, when it accepts a read, that it is not draining, and not again after the wait for an origin.

Change: before it fetches again, a draining holder gives the read back to the node that asked, which has more time left and nothing in flight for it.

--- a/src/irisstand/dataplane/cache/object_reader.py
+++ b/src/irisstand/dataplane/cache/object_reader.py
@@ -79,6 +79,7 @@
 
         Raises:
             errors.DeadlineExceededError: No object that may be served arrived before the deadline.
+            errors.DrainingError: This holder began to shut down, and the object has to be fetched again.
             errors.IrisError: The holder or the origins raised it.
         """
         deadline = self.context.clock.now() + lookup.remaining
@@ -98,12 +99,22 @@
             if isinstance(fetched.body, response_stream.ResponseStream):
                 fetched.body.close()
             # The object was purged or expired in flight, so it is fetched again within the same deadline.
+            self.check_may_fetch_again()
             minimum = max(minimum, self.view.newest_purge(lookup.purge_path, fetched.tags))
             if deadline - self.context.clock.now() < MIN_REMAINING_SECONDS:
                 raise errors.DeadlineExceededError(
                     "every object fetched before the deadline had been purged or had expired when it arrived"
                 )
 
+    def check_may_fetch_again(self) -> None:
+        """Check that this node may begin another fetch for a read that it has accepted.
+
+        Raises:
+            errors.DrainingError: This holder is shutting down; the requesting node has time left to fetch.
+        """
+        if self.is_holder and self.context.is_draining:
+            raise errors.DrainingError("this holder is shutting down")
+
     def keep_while_read(
         self, lookup: object_lookup.ObjectLookup, fetched: objects.CachedObject
     ) -> objects.CachedObject:
--- a/tests/dataplane/test_decisions_after_waits.py
+++ b/tests/dataplane/test_decisions_after_waits.py
@@ -5,6 +5,7 @@
 import cluster
 import direct_edge
 import pytest
+import test_object_holders
 
 from irisstand import errors
 from irisstand.state import items
@@ -159,3 +160,20 @@
         return status, len(opened) > 1, opened[0].started
 
     assert cluster.run_scenario(scenario) == (200, True, [])
+
+
+def test_holder_that_began_to_drain_during_a_fetch_hands_an_outdated_read_back():
+    async def scenario(site):
+        holder = site.nodes["holder-1"]
+
+        async def purge_and_drain_during_the_fetch(key, headers, body):
+            await asyncio.sleep(0.1)
+            site.put(items.LEDGER, "purge/path/h/objects/1", {"purge": "path"})
+            holder.context.is_draining = True
+            return direct_edge.complete_answer(headers["x-request-id"])
+
+        holder.respond = purge_and_drain_during_the_fetch
+        response = await site.nodes["edge-1"].ask("/objects/1")
+        return response.status, site.sent()
+
+    assert test_object_holders.run_scenario(scenario) == (200, {"holder-1": 1, "edge-1": 1})
--- a/tests/mutation/shutdown_mutations.py
+++ b/tests/mutation/shutdown_mutations.py
@@ -2,6 +2,12 @@
 # ruff: noqa: E501
 
 MUTATIONS = [
+    (
+        "dataplane/cache/object_reader.py",
+        "            self.check_may_fetch_again()\n",
+        "",
+        "dataplane/test_decisions_after_waits.py",
+    ),
     (
         "dataplane/cache/object_server.py",
         "        with self.context.count_in_flight():\n",
