Frames between nodes: the unread bytes of a frame that waits for room count

Cause: a connection whose frame waits for room has a full reader, up to 385 KB each and 15.4 MB in all, which nobody counted (sum of the buffers at the peak).

Change: such a connection counts the bound of its unread bytes. Its reader pauses at 32 KB, not 128. Frames use four fifths of the budget, as bodies of clients do, so that those which wait fit beside those which are read.

--- a/src/irisstand/resource_budget.py
+++ b/src/irisstand/resource_budget.py
@@ -74,11 +74,12 @@
 
 
 class Waiter(typing.NamedTuple):
-    """A holding that waits until it may grow, and the function that is called then."""
+    """A holding that waits until it may grow within a fraction of the budget, and whom to tell then."""
 
     holding: Holding
     size: int
     on_granted: collections.abc.Callable[[], None]
+    fraction: float
 
 
 class ResourceBudget:
@@ -204,17 +205,21 @@
 
     # -- waiting -------------------------------------------------------------------------------------
     def set_when_possible(
-        self, holding: Holding, size: int, on_granted: collections.abc.Callable[[], None]
+        self,
+        holding: Holding,
+        size: int,
+        on_granted: collections.abc.Callable[[], None],
+        fraction: float = 1.0,
     ) -> bool:
-        """Let a holding grow as soon as there is room, in the order of the calls.
+        """Let a holding grow as soon as a fraction of the budget has room, in the order of the calls.
 
         Returns:
             Whether it has grown at once; otherwise `on_granted` is called later.
         """
-        if not self.waiters and holding.try_set(size):
+        if not self.waiters and holding.try_set(size, fraction):
             holding.opened_at = self.now()
             return True
-        self.waiters.append(Waiter(holding, size, on_granted))
+        self.waiters.append(Waiter(holding, size, on_granted, fraction))
         self._schedule_recheck()
         return False
 
@@ -222,7 +227,7 @@
         """Let those that wait grow, as far as there is room."""
         while self.waiters:
             waiter = self.waiters[0]
-            if waiter.holding.is_open() and not waiter.holding.try_set(waiter.size):
+            if waiter.holding.is_open() and not waiter.holding.try_set(waiter.size, waiter.fraction):
                 return
             self.waiters.popleft()
             # It is not slow before it could begin.
--- a/src/irisstand/transport/network.py
+++ b/src/irisstand/transport/network.py
@@ -60,6 +60,12 @@
 
 # Larger frames count in the budget of the process.
 SMALL_FRAME_BYTES = 64 * 1024
+# A reader that holds more than twice this pauses its connection.
+READER_LIMIT_BYTES = 16 * 1024
+# The event loop receives at most this much at a time.
+RECEIVED_AT_ONCE_BYTES = 256 * 1024
+# The unread bytes that a connection may hold beside the part of a frame that has been read.
+UNREAD_LIMIT_BYTES = 2 * READER_LIMIT_BYTES + RECEIVED_AT_ONCE_BYTES
 
 OnStream = collections.abc.Callable[[Stream], collections.abc.Awaitable[None]]
 OnDatagram = collections.abc.Callable[[bytes, Address], None]
@@ -122,8 +128,16 @@
         """Read the payload of a large frame, once the budget has room for it."""
         holding = budget.open(self)
         try:
+            # What has arrived already is held whether there is room for the frame or not.
+            holding.set(UNREAD_LIMIT_BYTES)
             granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-            if not budget.set_when_possible(holding, length, lambda: granted.set_result(None)):
+            is_granted = budget.set_when_possible(
+                holding,
+                UNREAD_LIMIT_BYTES + length,
+                lambda: granted.set_result(None),
+                resource_budget.REQUESTS_FRACTION,
+            )
+            if not is_granted:
                 await granted
             if not holding.is_open():
                 raise ConnectionResetError("the connection was closed to make room for others")
@@ -218,7 +232,8 @@
         async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await on_stream(TcpStream(reader, writer, self.budget))
 
-        return await asyncio.start_server(accept, sock=listening_sockets.bind_tcp(*address))
+        listener = listening_sockets.bind_tcp(*address)
+        return await asyncio.start_server(accept, sock=listener, limit=READER_LIMIT_BYTES)
 
     async def open_datagram_socket(self, address: Address, on_datagram: OnDatagram) -> DatagramSocket:
         """Open a UDP socket at `address`; `on_datagram` is called with each payload and its sender."""
