Frames between nodes: a connection that ends while it waits for room breaks no other

Seen: the test of unread frames, torn down, raised InvalidStateError in the connection that had given room back: its read failed with it.

Cause: a connection that is cancelled while its frame waits for room keeps its place in the queue until its task has run; whoever frees room before that grants it to a cancelled future.

Change: a grant to a connection that has ended does nothing; its place, and the room, are given up as its task ends, and the next one waiting gets it.

--- a/src/irisstand/transport/network.py
+++ b/src/irisstand/transport/network.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import functools
 import struct
 import typing
 
@@ -87,6 +88,12 @@
         ...
 
 
+def _grant(granted: asyncio.Future[None]) -> None:
+    """Let a connection go on that waits for room, unless it has ended."""
+    if not granted.done():
+        granted.set_result(None)
+
+
 class TcpStream:
     """A stream of frames over one TCP connection; each frame is a four-byte length and a payload.
 
@@ -131,13 +138,9 @@
             # What has arrived already is held whether there is room for the frame or not.
             holding.set(UNREAD_LIMIT_BYTES)
             granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-            is_granted = budget.set_when_possible(
-                holding,
-                UNREAD_LIMIT_BYTES + length,
-                lambda: granted.set_result(None),
-                resource_budget.REQUESTS_FRACTION,
-            )
-            if not is_granted:
+            size = UNREAD_LIMIT_BYTES + length
+            on_granted = functools.partial(_grant, granted)
+            if not budget.set_when_possible(holding, size, on_granted, resource_budget.REQUESTS_FRACTION):
                 await granted
             if not holding.is_open():
                 raise ConnectionResetError("the connection was closed to make room for others")
--- a/tests/transport/test_unread_frames.py
+++ b/tests/transport/test_unread_frames.py
@@ -53,3 +53,35 @@
     assert count == PEERS
     assert 1 <= frames < PEERS
     assert frames * FRAME_BYTES + unread <= held
+
+
+def test_room_that_comes_free_as_a_waiting_connection_ends_goes_to_the_next():
+    async def scenario():
+        net = network.RealNetwork()
+        net.budget = resource_budget.ResourceBudget(BUDGET_BYTES, 10, lambda: 0.0, counters.Counters())
+        reads = []
+
+        async def on_stream(stream):
+            reads.append(asyncio.create_task(stream.read()))
+            with contextlib.suppress(OSError, asyncio.CancelledError):
+                await reads[-1]
+
+        listener = await net.listen(("127.0.0.1", 0), on_stream)
+        address = listener.sockets[0].getsockname()
+        first = net.budget.open()
+        first.set(BUDGET_BYTES)
+        writers = []
+        for _ in range(2):
+            writers.append(await send_unfinished_frame(address))
+            await asyncio.sleep(SETTLING_SECONDS / 2)
+        reads[0].cancel()
+        # The connection that ends has not given up its place yet.
+        first.close()
+        await asyncio.sleep(SETTLING_SECONDS / 2)
+        largest = max(holding.size for holding in net.budget.holdings)
+        for writer in writers:
+            writer.transport.abort()
+        listener.close()
+        return largest
+
+    assert asyncio.run(scenario()) >= FRAME_BYTES
