--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -8,6 +8,7 @@
 import hashlib
 import os
 import pathlib
+import socket
 import sys
 import tempfile
 import time
@@ -129,15 +130,26 @@
 
 
 class Client:
-    """A client with one kept connection."""
+    """A client with one kept connection.
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    Args:
+        address: The edge's address.
+        window_bytes: The receive buffer of the connection; None for that of the machine.
+    """
+
+    def __init__(self, address: tuple[str, int], window_bytes: int | None = None) -> None:
         self.address = address
+        self.window_bytes = window_bytes
         self.reader = None
         self.writer = None
 
     async def open(self) -> None:
-        self.reader, self.writer = await asyncio.open_connection(*self.address)
+        connected = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        if self.window_bytes is not None:
+            connected.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.window_bytes)
+        connected.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(connected, self.address)
+        self.reader, self.writer = await asyncio.open_connection(sock=connected)
 
     def close(self) -> None:
         if self.writer is not None:
