--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -42,6 +42,19 @@
         self.file.flush()
 
 
+async def read_body(reader: asyncio.StreamReader, headers: dict[str, str]) -> bytes:
+    """Read the body of a request, which has a length or comes in chunks."""
+    if "chunked" not in headers.get("transfer-encoding", ""):
+        return await reader.readexactly(int(headers.get("content-length", "0")))
+    body = bytearray()
+    while True:
+        size = int(await reader.readuntil(b"\r\n"), 16)
+        piece = await reader.readexactly(size + 2)
+        if not size:
+            return bytes(body)
+        body += piece[:-2]
+
+
 class Origin:
     """A sound origin on a raw socket: one request at a time on a connection, every answer sealed and whole.
 
@@ -54,6 +67,7 @@
         self.state, self.cold, self.port = "ready", 0.0, 0
         self.record = record
         self.in_chunks = False
+        self.on_run = lambda request_id: None
         self.plan = lambda target, body: [b"content of " + target.encode()]
         self.runs: list[tuple[str, str]] = []
         self.finished: set[str] = set()
@@ -80,7 +94,7 @@
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
         method, target, _ = head[0].split(" ")
         headers = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in head[1:] if line)}
-        body = await reader.readexactly(int(headers.get("content-length", "0")))
+        body = await read_body(reader, headers)
         if target == "/health":
             writer.write(f"HTTP/1.1 200 OK\r\nAnswering-Instance: {self.instance}\r\nCold-Remaining: 0\r\nContent-Length: 0\r\n\r\n".encode())
             return True
@@ -89,6 +103,7 @@
             writer.write(f"HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: {request_id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
             return True
         self.runs.append((request_id, target))
+        self.on_run(request_id)
         self.record(f"origin {self.instance} runs {request_id} {method} {target} with {len(body)} bytes")
         steps = self.plan(target, body)
         content = b"".join(step for step in steps if isinstance(step, bytes))
