--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
-"""Clients download objects of 10 MiB through one edge, five a second; their links are fast, or those of phones."""
+"""An operator sends one invalid configuration; the platform kills and restarts processes over their memory."""
 
 import asyncio
+import json
 import pathlib
 import sys
 
@@ -9,69 +10,101 @@
 
 import stand_ins_2  # noqa: E402 - found by the path above
 
-PIECE_BYTES = 64 * 1024
-OBJECT_BYTES = 160 * PIECE_BYTES
-DOWNLOADS = 40
-GAP_SECONDS = 0.2
-# The edges of a small deployment, as in its site file; the clients are all connected to the first of them.
-EDGES = 8
-# The pause of a client after each read of up to 64 KiB. With the disruption, a download takes about five seconds;
-# a client never rests longer than this, where `idle` allows 15 s.
-READ_PAUSE_SECONDS = 0.03 if stand_ins_2.has_trouble() else 0.0
-# The windows of the clients' links are small, with and without the disruption.
-WINDOW_BYTES = 64 * 1024
-TIME_MS = 20_000
-# The rule counts more than three requests on kept connections.
-ALLOWED_CUTS = 3
+NODES = (1, 2, 3)
+# The memory of the machines of the core, as the site file says.
+MEMORY_MB = 296
+CHECK_SECONDS = 0.02
+RESTART_SECONDS = 0.5
+# The operator sends a call that got no clear answer again, unchanged, to the next node.
+SENDS = 9
+PAUSE_SECONDS = 1.0
+CALL_SECONDS = 20.0
+# An invalid configuration with and without the disruption: so many routes without any field.
+ROUTES = 150_000 if stand_ins_2.has_trouble() else 100
+# The rule: processes that end by themselves three times, on half of the core.
+ENDS_COUNTED = 3
 
 
-def content_of(target: str) -> bytes:
-    return (target.encode() * (OBJECT_BYTES // len(target) + 1))[:OBJECT_BYTES]
+def resident_mb(pid: int) -> float:
+    """Return the memory of a process in MB; 0 if it has ended."""
+    try:
+        lines = pathlib.Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return 0.0
+    return next((int(line.split()[1]) * 1024 / 1e6 for line in lines if line.startswith("VmRSS")), 0.0)
 
 
-def pieces_of(target: str, _: bytes) -> list[bytes]:
-    content = content_of(target) if "-" in target else b"small"
-    return [content[at : at + PIECE_BYTES] for at in range(0, len(content), PIECE_BYTES)]
+async def run_platform(network, record, ends) -> None:
+    """Kill each process of the core that is over its memory, and start each that has ended, as the platform does."""
+    while True:
+        await asyncio.sleep(CHECK_SECONDS)
+        for number in NODES:
+            name = f"shield-{number}"
+            process = network.processes[name]
+            resident = resident_mb(process.pid)
+            if process.returncode is None and resident > MEMORY_MB:
+                record(f"platform: {name} uses {resident:.0f} MB of {MEMORY_MB}: killed")
+                process.kill()
+                await process.wait()
+            if process.returncode is not None:
+                ends[name] += 1
+                await asyncio.sleep(RESTART_SECONDS)
+                await network.start(name, number, f"z{number}")
+                record(f"platform: {name} starts again; it has ended {ends[name]} times")
 
 
-async def scenario(network, record) -> bool:
-    for origin in network.origins:
-        origin.plan = pieces_of
-    for number in range(2, EDGES + 1):
-        await network.start(f"edge-{number}", 3 + number, f"z{1 + number % 3}")
-    network.version += 10
-    # The timeout and the attempts of the route are those of the page's example but for the time that a
-    # download may take; each origin accepts 110 connections, as the site files say.
-    change = network.initial_configuration()
-    for route in change["put"]["routes"]:
-        route["timeout"] = 20
-    for service in change["put"]["upstreams"]:
-        service["connections"] = 110
-    change["put"]["limits"].update(header_bytes=16384, body_bytes=67108864, header=3, idle=15)
-    assert await network.accepts(change)
-    # Later than `config_apply` and `contact`, so that the configuration is in force and all is calm.
-    await asyncio.sleep(8)
-    cuts = []
-
-    async def download(number: int) -> None:
-        client = stand_ins_2.Client(stand_ins_2.front(network), WINDOW_BYTES)
-        await client.open()
-        # The connection is a kept one: it has carried a request before.
-        await client.send("GET", "/reads/first", f"first{number}", 2500)
-        await asyncio.sleep(GAP_SECONDS * number)
-        target, request_id = f"/reads/large-{number}", f"large{number}"
-        record(f"client sends {request_id} GET {target}")
-        answer = await client.send("GET", target, request_id, TIME_MS, read_pause=READ_PAUSE_SECONDS)
+async def count_served(network, record, name: str, stop: asyncio.Event) -> None:
+    """Send a request each 0.2 s until told to stop, and record how many were served."""
+    served = sent = 0
+    while not stop.is_set():
+        client = stand_ins_2.Client(stand_ins_2.front(network))
+        sent += 1
+        try:
+            await client.open()
+            answer = await asyncio.wait_for(client.send("GET", "/reads/1", f"{name}{sent}", 1000), 2)
+            served += answer.status == 200
+        except (OSError, TimeoutError):
+            pass
         client.close()
-        record(f"client got for {request_id}: {answer}")
-        if answer.status == 200 and not answer.is_whole:
-            cuts.append(request_id)
-            record(f"LOST: {request_id}: the connection ended after {len(answer.body)} of {OBJECT_BYTES} bytes")
+        await asyncio.sleep(0.2)
+    record(f"clients, {name}: {served} of {sent} requests served")
+
+
+async def send_order(network, record, body: bytes) -> None:
+    """Send the configuration until there is a clear answer, each time to the next node."""
+    for number in range(SENDS):
+        node = NODES[number % len(NODES)]
+        record(f"operator sends a configuration of {len(body)} bytes to shield-{node}")
+        try:
+            status, _ = await asyncio.wait_for(network.call("POST", "/amendments", body, node), CALL_SECONDS)
+        except TimeoutError:
+            status = 0
+        record(f"operator got from shield-{node}: status {status}")
+        if status in (200, 400, 409, 412, 413, 422):
+            return
+        await asyncio.sleep(PAUSE_SECONDS)
 
-    await asyncio.gather(*map(download, range(DOWNLOADS)))
-    record(f"answers cut off: {len(cuts)} of {DOWNLOADS}")
-    return len(cuts) <= ALLOWED_CUTS
+
+async def scenario(network, record) -> bool:
+    await asyncio.sleep(3)
+    for number in NODES:
+        record(f"shield-{number} uses {resident_mb(network.processes[f'shield-{number}'].pid):.0f} MB")
+    ends = dict.fromkeys((f"shield-{number}" for number in NODES), 0)
+    platform = asyncio.create_task(run_platform(network, record, ends))
+    stop = asyncio.Event()
+    clients = asyncio.create_task(count_served(network, record, "meanwhile", stop))
+    await send_order(network, record, json.dumps({"put": {"routes": [{}] * ROUTES}}).encode())
+    await asyncio.sleep(2)
+    stop.set()
+    await clients
+    platform.cancel()
+    often = [name for name, count in ends.items() if count >= ENDS_COUNTED]
+    record(f"ends of processes: {ends}")
+    return 2 * len(often) < len(NODES)
 
 
 if __name__ == "__main__":
-    sys.exit(stand_ins_2.run_case(FOLDER, scenario))
+    stand_ins_2.deployed_programs.deployed_settings.write_settings = stand_ins_2.settings_of_later_starts(
+        stand_ins_2.deployed_programs.deployed_settings.write_settings
+    )
+    sys.exit(stand_ins_2.run_case(FOLDER, scenario, seconds=110))
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -68,6 +68,7 @@
         self.record = record
         self.in_chunks = False
         self.on_run = lambda request_id: None
+        self.tags = ""
         self.plan = lambda target, body: [b"content of " + target.encode()]
         self.runs: list[tuple[str, str]] = []
         self.finished: set[str] = set()
@@ -106,10 +107,14 @@
         self.on_run(request_id)
         self.record(f"origin {self.instance} runs {request_id} {method} {target} with {len(body)} bytes")
         steps = self.plan(target, body)
+        # A pause before the first piece is the time that the work takes.
+        if steps and not isinstance(steps[0], bytes):
+            await asyncio.sleep(steps.pop(0))
         content = b"".join(step for step in steps if isinstance(step, bytes))
         seal = hashlib.sha256(content).hexdigest()[:16]
         writer.write(
             f"HTTP/1.1 200 OK\r\nAttempt-Id: {request_id}\r\nAnswer-Seal: {seal}\r\nAnswering-Instance: {self.instance}\r\n".encode()
+            + (f"Object-Tags: {self.tags}\r\n".encode() if self.tags else b"")
             + ("Transfer-Encoding: chunked\r\n\r\n" if self.in_chunks else f"Content-Length: {len(content)}\r\n\r\n").encode()
         )
         try:
@@ -205,13 +210,30 @@
     return ("127.0.7.4", network.ports[2])
 
 
-def run_case(folder: pathlib.Path, scenario, seconds: float = 100) -> int:
+def settings_of_later_starts(write_settings):
+    """Return a function that writes settings as `write_settings` does, with first_start false from the second time."""
+    started = set()
+
+    def write(name, *arguments, **given):
+        path = write_settings(name, *arguments, **given)
+        if name in started:
+            path.write_text(path.read_text().replace("first_start = true", "first_start = false"))
+        started.add(name)
+        return path
+
+    return write
+
+
+def run_case(
+    folder: pathlib.Path, scenario, seconds: float = 100, network_class=deployed_programs.DeployedNetwork
+) -> int:
     """Run a scenario with the deployed programs; return the exit code of the case.
 
     Args:
         folder: Where the record is written.
         scenario: Takes the network and the record, and returns whether the rule held.
         seconds: After this time the case counts as one that could not run.
+        network_class: The class of the network.
     """
     record = Record(folder)
     record(f"trouble: {'yes' if has_trouble() else 'no'}")
@@ -222,7 +244,7 @@
     async def run() -> bool:
         with tempfile.TemporaryDirectory() as data:
             async with asyncio.timeout(seconds):
-                async with deployed_programs.DeployedNetwork(data, make_origin=make_origin) as network:
+                async with network_class(data, make_origin=make_origin) as network:
                     await network.wait_until_serving()
                     held = await scenario(network, record)
                     record(f"exit codes of processes that have ended: {network.exit_codes()}")
