--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import contextlib
 import hashlib
 import os
 import pathlib
+import signal
 import socket
 import sys
 import tempfile
@@ -32,8 +34,8 @@
 class Record:
     """Writes what was sent, answered and run, with the seconds since the start."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self.file = open(folder / "record.txt", "w")
+    def __init__(self, path: pathlib.Path) -> None:
+        self.file = open(path, "w")
         self.started_at = time.monotonic()
 
     def __call__(self, text: str) -> None:
@@ -224,35 +226,52 @@
     return write
 
 
+def end_processes(network) -> None:
+    """Kill what still runs of the processes that a network has started."""
+    for process in network.processes.values():
+        if process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+
+
 def run_case(
-    folder: pathlib.Path, scenario, seconds: float = 100, network_class=deployed_programs.DeployedNetwork
+    record_path: pathlib.Path, scenario, seconds: float = 100, network_class=deployed_programs.DeployedNetwork
 ) -> int:
     """Run a scenario with the deployed programs; return the exit code of the case.
 
     Args:
-        folder: Where the record is written.
+        record_path: The file in which the record is written.
         scenario: Takes the network and the record, and returns whether the rule held.
         seconds: After this time the case counts as one that could not run.
         network_class: The class of the network.
     """
-    record = Record(folder)
+    record = Record(record_path)
     record(f"trouble: {'yes' if has_trouble() else 'no'}")
 
     def make_origin(*arguments: object) -> Origin:
         return Origin(*arguments, record=record)
 
     async def run() -> bool:
-        with tempfile.TemporaryDirectory() as data:
-            async with asyncio.timeout(seconds):
-                async with network_class(data, make_origin=make_origin) as network:
+        # A case that is told to stop ends its processes, too.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as data:
+            started = network_class(data, make_origin=make_origin)
+            try:
+                async with asyncio.timeout(seconds), started as network:
                     await network.wait_until_serving()
                     held = await scenario(network, record)
                     record(f"exit codes of processes that have ended: {network.exit_codes()}")
                     return held
+            finally:
+                # `async with` doesn't end them if it fails while it starts them.
+                end_processes(started)
+                await asyncio.gather(*(process.wait() for process in started.processes.values()))
 
     try:
         held = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record(f"the case could not run: {error!r}")
         return COULD_NOT_RUN
     record("the rule held" if held else "the rule was broken")
