Responses: events and counters of bodies that are given up and of reads that fetch again

Callers of review/7 get a complete 200 without a body, and no log or counter says why: whether the attempt, a timer, a hedge or the origin's end gave the body up, or the listener ended the message.

Added, with no change of logic: event body-given-up (reason, bytes received and unread, whether the origin had ended it and a reader had taken it), counter bodies_given_up; event refetch and counter refetches with the reason for which a read fetches its object again.

--- a/src/irisstand/dataplane/cache/object_reader.py
+++ b/src/irisstand/dataplane/cache/object_reader.py
@@ -12,6 +12,7 @@
     object_cache,
     object_lookup,
     objects,
+    refetches,
     request_coalescer,
     stored_body,
 )
@@ -89,8 +90,9 @@
             self.context.counters.add("cache", at=self.context.role, result="hit")
             return cached
         self.context.counters.add("cache", at=self.context.role, result="miss")
+        again = refetches.Refetches(self.context, self.header_names, lookup)
         while True:
-            fetched = await self.fetch_shared(lookup, minimum, deadline - self.context.clock.now())
+            fetched = await self.fetch_shared(lookup, minimum, deadline - self.context.clock.now(), again)
             is_usable = fetched.applied >= minimum and freshness_policy.is_servable(
                 fetched, lookup.purge_path, self.view, self.context.clock.now()
             )
@@ -105,6 +107,7 @@
                 raise errors.DeadlineExceededError(
                     "every object fetched before the deadline had been purged or had expired when it arrived"
                 )
+            again.add(refetches.RefetchReason.OUTDATED)
 
     def check_may_fetch_again(self) -> None:
         """Check that this node may begin another fetch for a read that it has accepted.
@@ -139,7 +142,11 @@
         return cached if is_usable else None
 
     async def fetch_shared(
-        self, lookup: object_lookup.ObjectLookup, minimum_version: versions.Version, remaining: float
+        self,
+        lookup: object_lookup.ObjectLookup,
+        minimum_version: versions.Version,
+        remaining: float,
+        again: refetches.Refetches,
     ) -> objects.CachedObject:
         """Fetch the object, or wait for an equal fetch that is in flight.
 
@@ -167,14 +174,17 @@
                 # time left, and then fetches again.
                 if not is_joined or deadline - self.context.clock.now() < MIN_REMAINING_SECONDS:
                     raise
+                again.add(refetches.RefetchReason.SHARED_DEADLINE)
                 continue
             if is_joined and not objects.is_shareable(fetched):
                 # The response belongs to the request that started the fetch.
                 key = (key, object())
+                again.add(refetches.RefetchReason.NOT_SHAREABLE)
                 continue
             if not self.is_holder and is_taken(fetched.body):
                 # No other request shares the next fetch of this one.
                 key = (key, object())
+                again.add(refetches.RefetchReason.BODY_LOST)
                 continue
             return fetched
 
--- a/src/irisstand/dataplane/upstream/attempts.py
+++ b/src/irisstand/dataplane/upstream/attempts.py
@@ -193,7 +193,7 @@
         if not isinstance(stream, response_stream.ResponseStream):
             return False
         if stream.has_ended or not isinstance(result, events.ResponseReceived):
-            stream.close()
+            stream.close(response_stream.GiveUpReason.ATTEMPT_ENDED)
             return False
         stream.on_end = functools.partial(end_attempt, attempt, number)
         attempt.endpoint.begin_transfer(number, stream, attempt.transfer_limit)
--- a/src/irisstand/dataplane/upstream/call_state.py
+++ b/src/irisstand/dataplane/upstream/call_state.py
@@ -6,7 +6,13 @@
 from irisstand import drain_guard
 from irisstand.dataplane.retry import attempt_policy, events
 from irisstand.dataplane.routing import routes
-from irisstand.dataplane.upstream import attempts, exchange, origin_endpoint, upstream_request
+from irisstand.dataplane.upstream import (
+    attempts,
+    exchange,
+    origin_endpoint,
+    response_stream,
+    upstream_request,
+)
 
 # The fraction of a route's target response time that a request may wait for tokens of a rate limit.
 RATE_WAIT_TARGET_FACTOR = 0.4
@@ -67,8 +73,13 @@
     if task.cancelled() or task.exception() is not None:
         return
     result = task.result()
-    if isinstance(result, events.ResponseReceived) and not isinstance(result.response.body, bytes):
-        result.response.body.close()
+    if not isinstance(result, events.ResponseReceived):
+        return
+    body = result.response.body
+    if isinstance(body, response_stream.ResponseStream):
+        body.close(response_stream.GiveUpReason.UNUSED)
+    elif not isinstance(body, bytes):
+        body.close()
 
 
 class Choice(typing.NamedTuple):
--- a/src/irisstand/dataplane/upstream/response_stream.py
+++ b/src/irisstand/dataplane/upstream/response_stream.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import collections.abc
+import enum
 import typing
 
-from irisstand import errors, resource_budget, transfer_speed
+from irisstand import errors, event_log, resource_budget, transfer_speed
 from irisstand.http1 import body_source
 
 # Reading from the origin stops while this much has arrived that the client has not taken.
@@ -19,6 +20,21 @@
 CLAIM_SECONDS = 5.0
 
 
+class GiveUpReason(enum.Enum):
+    """Why the rest of a response's body is not wanted any more."""
+
+    # The attempt has ended without passing the body on.
+    ATTEMPT_ENDED = "attempt-ended"
+    # Nobody began to read the body.
+    NOT_CLAIMED = "not-claimed"
+    # Another response was used, or the request was cancelled.
+    UNUSED = "unused"
+    # The body made room for others.
+    EVICTED = "evicted"
+    # Its reader has ended, which may have read all of it.
+    CLOSED = "closed"
+
+
 class OriginConnection(typing.Protocol):
     """The connection to the origin, as a stream controls it."""
 
@@ -58,6 +74,7 @@
         self.length = length
         self.retained_bytes = STREAM_BYTES
         self.connection = connection
+        self.budget = budget
         self.holding = None if budget is None else budget.open()
         if self.holding is not None:
             self.holding.set(STREAM_BYTES)
@@ -68,7 +85,9 @@
         self.has_ended = False
         self.error: errors.IrisError | None = None
         self.on_end: collections.abc.Callable[[], None] | None = None
-        self.claim_timer: asyncio.TimerHandle | None = loop.call_later(CLAIM_SECONDS, self.close)
+        self.claim_timer: asyncio.TimerHandle | None = loop.call_later(
+            CLAIM_SECONDS, self.close, GiveUpReason.NOT_CLAIMED
+        )
 
     # -- from the origin -----------------------------------------------------------------------------
     def feed(self, data: bytes) -> None:
@@ -126,16 +145,33 @@
 
     def evict(self) -> None:
         """Give up the rest of the body to make room for others; the reader gets an error."""
+        self._record_given_up(GiveUpReason.EVICTED)
         self._give_up("the response made room for others")
 
-    def close(self) -> None:
+    def close(self, reason: GiveUpReason = GiveUpReason.CLOSED) -> None:
         """Give up what was not read; resets the connection to the origin unless the body is complete."""
+        self._record_given_up(reason)
         self.claim()
         self._give_up("the response was not read")
         self.buffer = bytearray()
         if self.holding is not None:
             self.holding.close()
 
+    def _record_given_up(self, reason: GiveUpReason) -> None:
+        """Record that bytes of the body are given up, if some have not arrived or were not read."""
+        if self.has_ended and not self.buffer:
+            return
+        if self.budget is not None:
+            self.budget.counters.add("bodies_given_up", reason=reason.value)
+        event_log.record(
+            "body-given-up",
+            reason=reason.value,
+            received=self.received,
+            unread=len(self.buffer),
+            ended=self.has_ended,
+            claimed=self.claim_timer is None,
+        )
+
     def _give_up(self, why: str) -> None:
         if not self.has_ended:
             self.error = errors.OriginFailedError(why)
