Attempts: an answer whose end came with its last bytes keeps them for its client

Cause: once more than 1 MiB of an answer has arrived it becomes a stream. If its end is read in the same turn of the event loop, the stream has ended before the attempt's task runs, and begin_passing_on closed it: all bytes that waited for the client were dropped.

Change: an attempt that has succeeded never closes its answer. One that has ended needs its connection no more, which is returned at once; the bytes stay until their reader closes them.

Tests: answers of eleven sizes, with a length and in chunks, in one read, in reads of 256 KiB and of 64 KiB, on three classes of routes. Before: 44 of 132 red on the two routes that aren't cached; on the cacheable one the test didn't end.

--- a/src/irisstand/dataplane/upstream/attempts.py
+++ b/src/irisstand/dataplane/upstream/attempts.py
@@ -192,9 +192,12 @@
         stream = answer.body
         if not isinstance(stream, response_stream.ResponseStream):
             return False
-        if stream.has_ended or not isinstance(result, events.ResponseReceived):
+        if not isinstance(result, events.ResponseReceived):
             stream.close(response_stream.GiveUpReason.ATTEMPT_ENDED)
             return False
+        if stream.has_ended:
+            # The connection is free, while the client has yet to read what the stream holds.
+            return False
         stream.on_end = functools.partial(end_attempt, attempt, number)
         attempt.endpoint.begin_transfer(number, stream, attempt.transfer_limit)
         return True
