Large responses: one that was given up is an error for its reader, and has one owner until it is read

A 5xx of over 1 MiB that waits for a better answer for 5 s or more reached its client empty, as complete; so did an answer that its process, after it stood still, gave up before its reader ran.

ResponseStream.close dropped unread bytes and left a stream whose end looked like that of a whole body; DirectNode did not look whether it got the stream; and from the attempt's end to the reader nobody owned a response but a timer.

Change: a stream whose unread bytes are dropped ends with an error, whoever reads on. A claim that came too late fails the request before its head is sent. The call owns the responses of its attempts: it holds them while its retry policy may choose one, offers the chosen one to its reader and closes the others at once. The timer is checked twice, so that a standstill alone doesn't give a body up.

--- a/src/irisstand/dataplane/nodes/direct.py
+++ b/src/irisstand/dataplane/nodes/direct.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from irisstand import node_context
+from irisstand import errors, node_context
 from irisstand.dataplane.cache import (
     object_holders,
     object_lookup,
@@ -79,7 +79,7 @@
         with self.context.count_in_flight():
             answer = await self.origins.fetch(route, service, request, headers, remaining)
         if isinstance(answer.body, response_stream.ResponseStream):
-            answer.body.claim()
+            check_claim(answer.body)
         return answer
 
     def remaining_seconds(self, request: Request, route: routes.Route) -> float:
@@ -109,6 +109,16 @@
         return answer
 
 
+def check_claim(stream: response_stream.ResponseStream) -> None:
+    """Take the body of a response in order to pass it on.
+
+    Raises:
+        errors.OriginFailedError: It was given up before.
+    """
+    if not stream.claim():
+        raise errors.OriginFailedError("the response was given up before its client could get it")
+
+
 def network_connector(context: node_context.NodeContext) -> connector.Connect:
     """Return the function that opens network connections to origins, with the configured header names."""
     names = header_names.REGISTRY[context.settings.vocabulary]
--- a/src/irisstand/dataplane/upstream/call_state.py
+++ b/src/irisstand/dataplane/upstream/call_state.py
@@ -39,6 +39,25 @@
         self.headers = headers
         self.retry_policy = retry_policy
         self.running: dict[AttemptTask, attempts.Attempt] = {}
+        # The large responses of attempts that have ended, of which the retry policy chooses one.
+        self.streams: list[response_stream.ResponseStream] = []
+
+    def take(self, result: attempts.Result) -> None:
+        """Keep the body of a response for as long as the retry policy may choose it."""
+        if isinstance(result, events.ResponseReceived):
+            body = result.response.body
+            if isinstance(body, response_stream.ResponseStream):
+                body.hold()
+                self.streams.append(body)
+
+    def offer_chosen(self, chosen: exchange.Answer | None) -> None:
+        """Offer the body of the chosen response to its reader, and give up all others."""
+        for stream in self.streams:
+            if chosen is not None and stream is chosen.body:
+                stream.offer()
+            else:
+                stream.close(response_stream.GiveUpReason.UNUSED)
+        self.streams.clear()
 
     def drop_attempts(self) -> None:
         """Forget the attempts in flight, whose responses nobody waits for any more."""
--- a/src/irisstand/dataplane/upstream/client.py
+++ b/src/irisstand/dataplane/upstream/client.py
@@ -90,14 +90,21 @@
 
     async def decide(self, call: call_state.Call) -> actions.Respond[exchange.Answer] | actions.Reject:
         """Perform the actions of the request's retry policy until it responds or rejects."""
+        chosen: exchange.Answer | None = None
+        decision: actions.Respond[exchange.Answer] | actions.Reject
         try:
-            return await policy.execute(call.retry_policy, functools.partial(self.perform, call))
+            decision = await policy.execute(call.retry_policy, functools.partial(self.perform, call))
         except asyncio.CancelledError:
             # The client disconnected, or the node that forwarded the request withdrew it.
             for task, attempt in call.running.items():
                 self.attempts.give_up(task, attempt, call.retry_policy)
             raise
+        else:
+            if isinstance(decision, actions.Respond):
+                chosen = decision.response
+            return decision
         finally:
+            call.offer_chosen(chosen)
             call.drop_attempts()
 
     def policy_for(
@@ -115,7 +122,7 @@
             case actions.SendAttempt():
                 return await self.send(call)
             case actions.Wait():
-                return await self.wait(call.running, action.seconds)
+                return await self.wait(call, action.seconds)
 
     async def send(self, call: call_state.Call) -> Event:
         """Start an attempt; the first attempt of a request may wait for tokens of a rate limit."""
@@ -128,14 +135,16 @@
             event = self.begin(call)
         return event
 
-    async def wait(self, running: dict[call_state.AttemptTask, attempts.Attempt], seconds: float) -> Event:
+    async def wait(self, call: call_state.Call, seconds: float) -> Event:
         """Wait at most `seconds` for one of the attempts to end, and return its result."""
-        done, _ = await asyncio.wait(running, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
+        done, _ = await asyncio.wait(call.running, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
         if not done:
             return events.TIMER_EXPIRED
         task = done.pop()
-        running.pop(task)
-        return task.result()
+        call.running.pop(task)
+        result = task.result()
+        call.take(result)
+        return result
 
     def begin(self, call: call_state.Call) -> Event:
         """Choose an endpoint and start an attempt there in a new task."""
--- a/src/irisstand/dataplane/upstream/response_stream.py
+++ b/src/irisstand/dataplane/upstream/response_stream.py
@@ -18,6 +18,9 @@
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 # A stream that nobody begins to read for this long is given up, like the slower one of two hedged attempts.
 CLAIM_SECONDS = 5.0
+# It is checked this often in that time: a process that stood still resumes with its timers, and whoever is
+# about to claim the stream comes after the first one.
+CLAIM_CHECKS = 2
 
 
 class GiveUpReason(enum.Enum):
@@ -85,9 +88,9 @@
         self.has_ended = False
         self.error: errors.IrisError | None = None
         self.on_end: collections.abc.Callable[[], None] | None = None
-        self.claim_timer: asyncio.TimerHandle | None = loop.call_later(
-            CLAIM_SECONDS, self.close, GiveUpReason.NOT_CLAIMED
-        )
+        self.is_claimed = False
+        self.claim_timer: asyncio.TimerHandle | None = None
+        self.offer()
 
     # -- from the origin -----------------------------------------------------------------------------
     def feed(self, data: bytes) -> None:
@@ -115,13 +118,24 @@
         self._end(error)
 
     # -- to the client -------------------------------------------------------------------------------
+    def offer(self) -> None:
+        """Let the stream be given up if nobody claims it for `CLAIM_SECONDS`."""
+        self.hold()
+        if not self.is_claimed:
+            self._start_claim_timer(CLAIM_CHECKS)
+
+    def hold(self) -> None:
+        """Keep the stream, which is not to be read yet, until it is offered or closed."""
+        if self.claim_timer is not None:
+            self.claim_timer.cancel()
+            self.claim_timer = None
+
     def claim(self) -> bool:
-        """Take the stream in order to read it; return whether nobody else has taken it."""
-        if self.claim_timer is None:
-            return False
-        self.claim_timer.cancel()
-        self.claim_timer = None
-        return True
+        """Take the stream in order to read it; return whether nobody has taken it or given it up."""
+        self.hold()
+        is_first = not self.is_claimed
+        self.is_claimed = True
+        return is_first
 
     async def read(self) -> bytes:
         """Return the next piece, or nothing at the end of the body.
@@ -153,10 +167,23 @@
         self._record_given_up(reason)
         self.claim()
         self._give_up("the response was not read")
-        self.buffer = bytearray()
+        if self.buffer:
+            # Without its last bytes, the body is not whole for whoever reads on.
+            self.error = errors.OriginFailedError("the response was given up before all of it was read")
+            self.buffer = bytearray()
         if self.holding is not None:
             self.holding.close()
 
+    def _start_claim_timer(self, checks_left: int) -> None:
+        loop = asyncio.get_running_loop()
+        self.claim_timer = loop.call_later(CLAIM_SECONDS / CLAIM_CHECKS, self._check_claim, checks_left - 1)
+
+    def _check_claim(self, checks_left: int) -> None:
+        if checks_left:
+            self._start_claim_timer(checks_left)
+        else:
+            self.close(GiveUpReason.NOT_CLAIMED)
+
     def _record_given_up(self, reason: GiveUpReason) -> None:
         """Record that bytes of the body are given up, if some have not arrived or were not read."""
         if self.has_ended and not self.buffer:
@@ -169,7 +196,7 @@
             received=self.received,
             unread=len(self.buffer),
             ended=self.has_ended,
-            claimed=self.claim_timer is None,
+            claimed=self.is_claimed,
         )
 
     def _give_up(self, why: str) -> None:
