Attempts: a large answer that broke off before it is passed on is a failed attempt

What callers saw: a 200 that was cut off after its first MiB, although its origin had sent malformed bytes before the answer was begun; for a repeatable request a second origin was there.

Cause: begin_passing_on looked whether the stream had ended, not whether it had ended early.

Change: a stream that has ended with an error fails the attempt, and the retry policy decides.

Test: red before (the reader gets the error in the midst of a 200), green after: 200 and whole from the second attempt.

--- a/src/irisstand/dataplane/upstream/attempts.py
+++ b/src/irisstand/dataplane/upstream/attempts.py
@@ -188,13 +188,20 @@
     def begin_passing_on(
         self, attempt: Attempt, number: int, answer: exchange.Answer, result: Result
     ) -> bool:
-        """Keep the attempt's connection for a response that is still arriving; return whether it is."""
+        """Keep the attempt's connection for a response that is still arriving; return whether it is.
+
+        Raises:
+            errors.OriginFailedError: The response has ended early already.
+        """
         stream = answer.body
         if not isinstance(stream, response_stream.ResponseStream):
             return False
         if not isinstance(result, events.ResponseReceived):
             stream.close(response_stream.GiveUpReason.ATTEMPT_ENDED)
             return False
+        if stream.error is not None:
+            stream.close(response_stream.GiveUpReason.ATTEMPT_ENDED)
+            raise stream.error.copy()
         if stream.has_ended:
             # The connection is free, while the client has yet to read what the stream holds.
             return False
--- a/tests/dataplane/test_given_up_answers.py
+++ b/tests/dataplane/test_given_up_answers.py
@@ -118,3 +118,21 @@
         return response.body, [transport.is_closed for transport in harness.transports]
 
     assert virtual_time.run(scenario()) == (b"better", [True, False])
+
+
+def test_answer_that_broke_off_before_it_is_passed_on_is_a_failed_attempt():
+    """Guards against a success that is cut off although its origin had failed before it was begun."""
+
+    async def scenario():
+        asked = []
+
+        def answer(request_id):
+            asked.append(request_id)
+            whole = in_chunks(request_id, BODY)
+            return [whole.removesuffix(b"0\r\n\r\n") + b"no chunk\r\n"] if len(asked) == 1 else [whole]
+
+        harness = scripted_transport.Harness(answer)
+        response = await harness.ask("/reads/1")
+        return response.status, await read_all(response.body) == BODY, len(asked)
+
+    assert virtual_time.run(scenario()) == (200, True, 2)
