Object reader: a fetch that follows one of the same read is a retry, with a pause, a bound and a budget

Cause: each loop of ObjectReader that lost an object (outdated, body taken, memory freed) began the next fetch at once, and each fetch counted as a first attempt, so that it even raised the budget.

Change: RefetchPolicy decides. A read that has only waited for another's fetch may send its own at once. Whoever has sent one pauses (10 ms, doubled), makes single attempts, at most the route's limit less one, takes a token of the retry budget for each, and gets 503 without one. Such a call adds nothing to the budget. A first fetch with retries and its further fetches can still add up to twice the route's limit less one.

Tests: four of the new ones red before (the read fetched until 504), green after; the hundred reads, which take 2 s each there, were not run on the old code.

--- a/src/irisstand/dataplane/cache/object_reader.py
+++ b/src/irisstand/dataplane/cache/object_reader.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import functools
 import typing
 
 from irisstand import errors, node_context
 from irisstand.dataplane.cache import (
+    body_owners,
     fetched_objects,
     object_cache,
     object_lookup,
@@ -16,14 +16,11 @@
     request_coalescer,
     stored_body,
 )
-from irisstand.dataplane.retry import freshness_policy
+from irisstand.dataplane.retry import freshness_policy, refetch_policy
 from irisstand.dataplane.routing import configuration_view
 from irisstand.dataplane.upstream import client, response_stream
-from irisstand.http1 import body_source
 from irisstand.state import versions
 
-# With less time than this before the deadline, an object that was purged in flight is not fetched again.
-MIN_REMAINING_SECONDS = 0.02
 MIN_TIMEOUT_SECONDS = 0.01
 STATUS_OK = 200
 STATUS_NOT_MODIFIED = 304
@@ -80,19 +77,19 @@
 
         Raises:
             errors.DeadlineExceededError: No object that may be served arrived before the deadline.
+            errors.LimitExceededError: The object has to be fetched again, and no retry is left.
             errors.DrainingError: This holder began to shut down, and the object has to be fetched again.
             errors.IrisError: The holder or the origins raised it.
         """
-        deadline = self.context.clock.now() + lookup.remaining
+        again = self.refetches_of(lookup)
         minimum = max(minimum_version, self.view.newest_purge(lookup.purge_path, ()))
         cached = self.usable_from_cache(lookup, minimum)
         if cached is not None:
             self.context.counters.add("cache", at=self.context.role, result="hit")
             return cached
         self.context.counters.add("cache", at=self.context.role, result="miss")
-        again = refetches.Refetches(self.context, self.header_names, lookup)
         while True:
-            fetched = await self.fetch_shared(lookup, minimum, deadline - self.context.clock.now(), again)
+            fetched = await self.fetch_shared(lookup, minimum, again)
             is_usable = fetched.applied >= minimum and freshness_policy.is_servable(
                 fetched, lookup.purge_path, self.view, self.context.clock.now()
             )
@@ -103,11 +100,18 @@
             # The object was purged or expired in flight, so it is fetched again within the same deadline.
             self.check_may_fetch_again()
             minimum = max(minimum, self.view.newest_purge(lookup.purge_path, fetched.tags))
-            if deadline - self.context.clock.now() < MIN_REMAINING_SECONDS:
-                raise errors.DeadlineExceededError(
-                    "every object fetched before the deadline had been purged or had expired when it arrived"
-                )
-            again.add(refetches.RefetchReason.OUTDATED)
+            await again.prepare(refetches.RefetchReason.OUTDATED)
+
+    def refetches_of(self, lookup: object_lookup.ObjectLookup) -> refetches.Refetches:
+        """Return the further fetches of a read that begins now."""
+        clock = self.context.clock
+        retry_policy = refetch_policy.RefetchPolicy(
+            clock,
+            clock.now() + lookup.remaining,
+            lookup.route.attempts,
+            self.origins.budget(lookup.service),
+        )
+        return refetches.Refetches(self.context, self.header_names, lookup, retry_policy)
 
     def check_may_fetch_again(self) -> None:
         """Check that this node may begin another fetch for a read that it has accepted.
@@ -145,7 +149,6 @@
         self,
         lookup: object_lookup.ObjectLookup,
         minimum_version: versions.Version,
-        remaining: float,
         again: refetches.Refetches,
     ) -> objects.CachedObject:
         """Fetch the object, or wait for an equal fetch that is in flight.
@@ -154,39 +157,54 @@
         started the fetch; the others fetch for themselves.
 
         Raises:
-            errors.DeadlineExceededError: The object did not arrive within `remaining` seconds.
+            errors.DeadlineExceededError: The object did not arrive before the deadline of the read.
         """
-        deadline = self.context.clock.now() + remaining
         key: typing.Hashable = (lookup.key, minimum_version, lookup.is_forwarded)
         while True:
-            seconds_left = deadline - self.context.clock.now()
             is_joined = self.coalescer.is_in_flight(key)
-            fetch = functools.partial(self.fetch, lookup, minimum_version, seconds_left)
             try:
-                async with asyncio.timeout(max(MIN_TIMEOUT_SECONDS, seconds_left)):
-                    fetched: objects.CachedObject = await self.coalescer.join(key, fetch)
-            except TimeoutError:
-                raise errors.DeadlineExceededError(
-                    "no origin sent a complete response before the deadline"
-                ) from None
+                fetched = await self.join(key, minimum_version, again)
             except errors.DeadlineExceededError:
                 # A shared fetch ends at the deadline of the request that started it; this request may have
                 # time left, and then fetches again.
-                if not is_joined or deadline - self.context.clock.now() < MIN_REMAINING_SECONDS:
+                if not is_joined or again.remaining() < refetch_policy.MINIMUM_FETCH_SECONDS:
                     raise
-                again.add(refetches.RefetchReason.SHARED_DEADLINE)
+                await again.prepare(refetches.RefetchReason.SHARED_DEADLINE)
                 continue
             if is_joined and not objects.is_shareable(fetched):
                 # The response belongs to the request that started the fetch.
-                key = (key, object())
-                again.add(refetches.RefetchReason.NOT_SHAREABLE)
-                continue
-            if not self.is_holder and is_taken(fetched.body):
-                # No other request shares the next fetch of this one.
-                key = (key, object())
-                again.add(refetches.RefetchReason.BODY_LOST)
-                continue
-            return fetched
+                reason = refetches.RefetchReason.NOT_SHAREABLE
+            elif not self.is_holder and body_owners.is_taken(fetched.body):
+                reason = refetches.RefetchReason.BODY_LOST
+            else:
+                return fetched
+            # No other request shares the next fetch of this one.
+            key = (key, object())
+            await again.prepare(reason)
+
+    async def join(
+        self,
+        key: typing.Hashable,
+        minimum_version: versions.Version,
+        again: refetches.Refetches,
+    ) -> objects.CachedObject:
+        """Return the result of the fetch with a key, which is started if none is in flight.
+
+        Raises:
+            errors.DeadlineExceededError: The object did not arrive before the deadline of the read.
+        """
+        seconds_left = again.remaining()
+        fetch = functools.partial(self.fetch, again.next_lookup(), minimum_version, seconds_left)
+        if not self.coalescer.is_in_flight(key):
+            again.has_fetched = True
+        try:
+            async with asyncio.timeout(max(MIN_TIMEOUT_SECONDS, seconds_left)):
+                fetched: objects.CachedObject = await self.coalescer.join(key, fetch)
+        except TimeoutError:
+            raise errors.DeadlineExceededError(
+                "no origin sent a complete response before the deadline"
+            ) from None
+        return fetched
 
     async def fetch(
         self, lookup: object_lookup.ObjectLookup, minimum_version: versions.Version, remaining: float
@@ -194,7 +212,7 @@
         """Fetch the object from its holder, or else from an origin, and cache it if it has a TTL."""
         cached = self.cache.get(lookup.key)
         fetch_from_origin = functools.partial(self.fetch_from_origin, lookup, minimum_version, cached)
-        with self.context.count_in_flight(), keep(cached):
+        with self.context.count_in_flight(), body_owners.keep(cached):
             fetched = await self.fetch_from_holder(
                 lookup, minimum_version, remaining, cached, fetch_from_origin
             )
@@ -227,23 +245,3 @@
             fetched = fetched_objects.from_answer(self.header_names, answer, applied, sent_at, ttl)
         fetched_objects.record(self.header_names, lookup, answer.status, fetched)
         return fetched
-
-
-def is_taken(body: bytes | stored_body.StoredBody | body_source.BodySource) -> bool:
-    """Return whether a fetched body can't be used, as another request passes it on, or the cache freed it."""
-    if isinstance(body, response_stream.ResponseStream):
-        return not body.claim()
-    return isinstance(body, stored_body.StoredBody) and body.is_freed
-
-
-@contextlib.contextmanager
-def keep(cached: objects.CachedObject | None) -> collections.abc.Iterator[None]:
-    """Keep the body of a cached object while it is revalidated, even if the cache drops the object."""
-    if cached is None or not isinstance(cached.body, stored_body.StoredBody):
-        yield
-        return
-    reader = cached.body.open_reader()
-    try:
-        yield
-    finally:
-        reader.close()
--- a/src/irisstand/dataplane/retry/attempt_policy.py
+++ b/src/irisstand/dataplane/retry/attempt_policy.py
@@ -43,6 +43,9 @@
         route: The route of the request, with its timeout and its limit of attempts.
         remaining: Seconds for which the client still waits.
         budget: Limits the retries of this node.
+
+    Attributes:
+        is_repeat: Whether an earlier call has sent the request, so that it adds nothing to the retry budget.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         self.route = route
         self.budget = budget
         self.attempts_sent = 0
+        self.is_repeat = False
         self.tried: set[str] = set()
         self.last_error: errors.IrisError | None = None
 
@@ -73,7 +77,8 @@
 
     def on_started(self) -> Action[ResponseT]:
         """Send the first attempt, or reject a request whose deadline is too close."""
-        self.budget.record_first_attempt()
+        if not self.is_repeat:
+            self.budget.record_first_attempt()
         if self.remaining() <= policy.MINIMUM_SEND_SECONDS:
             return policy.deadline_rejection("an origin")
         return self.send()
--- a/src/irisstand/dataplane/upstream/client.py
+++ b/src/irisstand/dataplane/upstream/client.py
@@ -80,7 +80,9 @@
         if not isinstance(request.body, bytes):
             # Its body can be read only once.
             route = route._replace(attempts=1)
-        call = call_state.Call(route, service, request, headers, self.policy_for(route, service, remaining))
+        retry_policy = self.policy_for(route, service, remaining)
+        retry_policy.is_repeat = request.is_repeat
+        call = call_state.Call(route, service, request, headers, retry_policy)
         with self.context.drain_guard.fail_at_end(call.work_state):
             decision = await self.decide(call)
         if isinstance(decision, actions.Reject):
--- a/src/irisstand/dataplane/upstream/upstream_request.py
+++ b/src/irisstand/dataplane/upstream/upstream_request.py
@@ -37,6 +37,7 @@
         host: The host that the client named.
         headers: The headers by their names in lower case.
         body: The complete body, or a large one that is still arriving and can be sent once.
+        is_repeat: Whether origins may have got the request already, so that all of its attempts are retries.
     """
 
     method: str
@@ -44,6 +45,7 @@
     host: str
     headers: dict[str, str]
     body: bytes | streamed_body.StreamedBody
+    is_repeat: bool = False
 
     @property
     def path(self) -> str:
