Attempts: one whose request is over for its client reads no more of an unfinished body

Cause: a request that may not be withdrawn had its attempt carried on after the deadline. It went on to read the client's stream, of which sanic, after the answer, drains the rest: two readers.

Change: when the retry policy has ended the request, an attempt that still lacks a part of the body is cancelled, which resets the connection to the origin, as was done for clients that leave. A request that is sent whole is carried on as before.

Test: an upload that rests past its timeout, with a length and in chunks, on three classes of routes.

--- a/src/irisstand/dataplane/upstream/call_state.py
+++ b/src/irisstand/dataplane/upstream/call_state.py
@@ -61,8 +61,11 @@
 
     def drop_attempts(self) -> None:
         """Forget the attempts in flight, whose responses nobody waits for any more."""
-        for task in self.running:
+        for task, attempt in self.running.items():
             task.add_done_callback(close_unused_response)
+            if not attempt.has_whole_request:
+                # What is left of the request belongs to its client's connection, which may drop it.
+                task.cancel()
         # Attempts refer to this call: as long as it refers to them, too, only the garbage collector would
         # free their responses.
         self.running.clear()
--- a/tests/dataplane/test_large_requests.py
+++ b/tests/dataplane/test_large_requests.py
@@ -3,11 +3,13 @@
 import asyncio
 
 import pytest
+import scripted_transport
 import test_exchange
 
 from irisstand import errors
 from irisstand.dataplane.upstream import connector, streamed_body
 from irisstand.http1 import body_source
+from irisstand.simulator import virtual_time
 
 MB = 1_000_000
 
@@ -91,3 +93,28 @@
         return found.body, connection.is_usable()
 
     assert test_exchange.run_with_origin(origin, scenario) == (b"refused", False)
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+@pytest.mark.parametrize("path", ["/writes/1", "/reads/1", "/objects/1"])
+def test_request_that_ends_before_its_body_came_is_not_read_on_for_its_origin(path, is_chunked):
+    """Guards against UNASKED: an attempt that reads on, beside others, after its client has been answered."""
+    pieces_read = []
+
+    async def receive():
+        # Past the route's timeout of 2 s.
+        await asyncio.sleep(2.5)
+        pieces_read.append(b"rest")
+        return b"rest"
+
+    async def scenario():
+        harness = scripted_transport.Harness(lambda request_id: [])
+        length = None if is_chunked else 1000
+        body = streamed_body.StreamedBody(b"beginning", length, receive)
+        with pytest.raises(errors.IrisError) as rejection:
+            await harness.ask(path, "POST", body=body)
+        await asyncio.sleep(10)
+        return rejection.value.status, [transport.is_reset for transport in harness.transports]
+
+    assert virtual_time.run(scenario()) == (504, [True])
+    assert pieces_read == []
