Request bodies: one of which others took a piece is incomplete for its reader, never whole

Cause: the reader of a body took sanic's mark that the stream is used up for the end of its own body, whoever had read the bytes. A body that had failed, or ended, asked the client's stream again.

Change: the end counts if each byte came to this reader: as many as the length, or as the chunks have declared, the last one included. Otherwise reading fails, and the connection to the origin is reset. A body that has failed raises its error again; one that has ended stays ended.

Test: one or two pieces taken by others, with a length and in chunks.

--- a/src/irisstand/dataplane/http/request_body.py
+++ b/src/irisstand/dataplane/http/request_body.py
@@ -6,6 +6,7 @@
 import sanic.exceptions
 import sanic.response
 
+from irisstand import errors
 from irisstand.dataplane.upstream import streamed_body
 from irisstand.http1 import body_source, streamed_response
 
@@ -14,6 +15,12 @@
 TIMEOUT_RESOLUTION_SECONDS = 0.25
 
 
+class IncompleteRequestError(errors.IrisError, is_registered=False):
+    """The end of a request's body was reached without all of its bytes: they went elsewhere."""
+
+    code, status, remedy = "incomplete-request", 400, "send the request again"
+
+
 class RequestBodyReader:
     """Reads the body of one request.
 
@@ -28,6 +35,9 @@
         self.limit_bytes = limit_bytes
         self.idle_seconds = idle_seconds
         self.received = 0
+        self.length: int | None = None
+        # The stream has another one for the next request.
+        self.decoder = stream.decoder
 
     async def read(self) -> bytes | streamed_body.StreamedBody:
         """Return the complete body, or one that is passed on while it arrives if it is large.
@@ -41,13 +51,13 @@
             return b""
         if self.stream.request_bytes > self.limit_bytes:
             raise _too_large()
+        # Sanic marks a chunked body with another value than True.
+        self.length = self.stream.request_bytes if self.stream.request_body is True else None
         body = await self._read_beginning()
         if not self.stream.request_body:
             return body
         self.stream.protocol.budget.pass_on_body()
-        # Sanic marks a chunked body with another value than True.
-        length = self.stream.request_bytes if self.stream.request_body is True else None
-        return streamed_body.StreamedBody(body, length, self._read_piece)
+        return streamed_body.StreamedBody(body, self.length, self._read_piece)
 
     async def _read_beginning(self) -> bytes:
         """Read up to the end of the body, or until it is too large to be held whole."""
@@ -71,7 +81,12 @@
         return bytes(body)
 
     async def _read_piece(self) -> bytes:
-        """Return the next bytes of the body, or nothing at its end."""
+        """Return the next bytes of the body, or nothing at its end.
+
+        Raises:
+            IncompleteRequestError: Not all bytes of the body have come to this reader.
+            sanic.exceptions.RequestTimeout: The client sent nothing for as long as a connection may be idle.
+        """
         piece = b""
         try:
             async with asyncio.timeout(self.idle_seconds + TIMEOUT_RESOLUTION_SECONDS):
@@ -79,8 +94,17 @@
                     piece = await self._receive()
         except TimeoutError:
             raise self._end_idle() from None
+        if not piece and not self._is_whole():
+            raise IncompleteRequestError("not all of the request's body came to its reader")
         return piece
 
+    def _is_whole(self) -> bool:
+        """Return whether this reader has received each byte of the body."""
+        if self.length is None:
+            is_whole: bool = self.decoder.is_complete and self.received == self.decoder.declared_bytes
+            return is_whole
+        return self.received == self.length
+
     async def _receive(self) -> bytes:
         piece = await self.stream.read() or b""
         self.received += len(piece)
--- a/src/irisstand/dataplane/upstream/streamed_body.py
+++ b/src/irisstand/dataplane/upstream/streamed_body.py
@@ -34,6 +34,10 @@
         Raises:
             Exception: The error of `receive`, which is kept as `error`.
         """
+        if self.error is not None:
+            raise self.error
+        if self.is_complete:
+            return b""
         piece, self.beginning = self.beginning, b""
         if not piece:
             try:
--- a/tests/dataplane/test_large_requests.py
+++ b/tests/dataplane/test_large_requests.py
@@ -1,14 +1,16 @@
 """Large requests on real sockets: sent to their origin while they arrive, once; reset if they end early."""
 
 import asyncio
+from unittest import mock
 
 import pytest
 import scripted_transport
 import test_exchange
 
 from irisstand import errors
+from irisstand.dataplane.http import request_body
 from irisstand.dataplane.upstream import connector, streamed_body
-from irisstand.http1 import body_source
+from irisstand.http1 import body_source, chunked_coding
 from irisstand.simulator import virtual_time
 
 MB = 1_000_000
@@ -118,3 +120,45 @@
 
     assert virtual_time.run(scenario()) == (504, [True])
     assert pieces_read == []
+
+
+class ClientStream:
+    """Sanic's stream of a request whose body has the given pieces; others may read from it, too."""
+
+    def __init__(self, pieces, length):
+        self.pieces = list(pieces)
+        self.request_body = True if length else "chunked"
+        self.request_bytes = length or 0
+        self.protocol = mock.Mock()
+        self.decoder = chunked_coding.ChunkedDecoder()
+        self.decoder.declared_bytes = sum(map(len, pieces))
+
+    async def read(self):
+        if self.pieces:
+            return self.pieces.pop(0)
+        self.request_body = None
+        self.decoder.is_complete = True
+        return None
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+@pytest.mark.parametrize("lost", [0, 1, 2])
+def test_body_of_which_others_took_a_piece_is_not_complete(lost, is_chunked):
+    """Guards against UNASKED: an upload with missing pieces that is closed as a whole one."""
+
+    async def scenario():
+        pieces = [b"x" * (body_source.HELD_BODY_BYTES + 1), b"second", b"third"]
+        stream = ClientStream(pieces, None if is_chunked else sum(map(len, pieces)))
+        body = await request_body.RequestBodyReader(stream, 100 * MB, 5.0).read()
+        for _ in range(lost):
+            await stream.read()
+        found = []
+        while piece := await body.read():
+            found.append(piece)
+        return found == pieces, await body.read()
+
+    if lost:
+        with pytest.raises(request_body.IncompleteRequestError):
+            asyncio.run(scenario())
+    else:
+        assert asyncio.run(scenario()) == (True, b"")
