Bodies that are passed on: whoever reads a closed, freed or shortened one gets an error

What callers saw: nothing; the way was open wherever a reader outlives its body. The readers of bodies that are stored or held whole said "end" once they were closed, a freed body could be opened and was empty, and a range ended where its whole body did. Only the length in the head, checked by the listener, kept these from looking complete; an answer in chunks has no such check.

Change: a BodySource returns nothing only once all of a complete body was returned. Closed readers, freed bodies and ranges that end early raise BodyClosedError, which the listener cuts off.

Tests: five, for stored and shared readers, fills, freed bodies and ranges; before, none of the five raised anything (they fail there at the new class's name).

--- a/src/irisstand/dataplane/cache/ranges.py
+++ b/src/irisstand/dataplane/cache/ranges.py
@@ -2,6 +2,7 @@
 
 import re
 
+from irisstand import errors
 from irisstand.dataplane.upstream import exchange
 from irisstand.http1 import body_source
 
@@ -60,11 +61,15 @@
         self.bytes_left = length
 
     async def read(self) -> bytes:
-        """Return the next piece of the part, or nothing at its end."""
+        """Return the next piece of the part, or nothing at its end.
+
+        Raises:
+            errors.BodyClosedError: The whole body ended before the part did.
+        """
         while self.bytes_left:
             piece = await self.whole.read()
             if not piece:
-                return b""
+                raise errors.BodyClosedError("the body ended before its range did")
             part = piece[self.bytes_to_skip :][: self.bytes_left]
             self.bytes_to_skip = max(0, self.bytes_to_skip - len(piece))
             self.bytes_left -= len(part)
--- a/src/irisstand/dataplane/cache/stored_body.py
+++ b/src/irisstand/dataplane/cache/stored_body.py
@@ -2,7 +2,7 @@
 
 import collections.abc
 
-from irisstand import resource_budget
+from irisstand import errors, resource_budget
 from irisstand.http1 import body_source
 
 
@@ -30,7 +30,13 @@
         return not self.pieces
 
     def open_reader(self) -> "StoredBodyReader":
-        """Return a reader, which keeps the body until it is closed."""
+        """Return a reader, which keeps the body until it is closed.
+
+        Raises:
+            errors.BodyClosedError: The body is freed.
+        """
+        if self.is_freed:
+            raise errors.BodyClosedError("the body of the object was freed")
         self.readers += 1
         if self.readers == 1 and self.budget is not None:
             self.holding = self.budget.open()
@@ -68,8 +74,14 @@
         self.position = 0
 
     async def read(self) -> bytes:
-        """Return the next piece, or nothing at the end."""
-        if self.stored is None or self.position >= len(self.stored.pieces):
+        """Return the next piece, or nothing at the end.
+
+        Raises:
+            errors.BodyClosedError: The reader is closed.
+        """
+        if self.stored is None:
+            raise errors.BodyClosedError("the reader of the body is closed")
+        if self.position >= len(self.stored.pieces):
             return b""
         self.position += 1
         return self.stored.pieces[self.position - 1]
--- a/src/irisstand/errors/__init__.py
+++ b/src/irisstand/errors/__init__.py
@@ -42,6 +42,7 @@
 NoQuotaShareError = requests.NoQuotaShareError
 NoOriginError = requests.NoOriginError
 OriginFailedError = requests.OriginFailedError
+BodyClosedError = requests.BodyClosedError
 NoShieldError = requests.NoShieldError
 SiteEvacuatedError = requests.SiteEvacuatedError
 ResponseIntegrityError = requests.ResponseIntegrityError
--- a/src/irisstand/http1/body_source.py
+++ b/src/irisstand/http1/body_source.py
@@ -21,10 +21,10 @@
     retained_bytes: int
 
     async def read(self) -> bytes:
-        """Return the next piece, or nothing at the end of the body.
+        """Return the next piece; nothing only once all of a complete body was returned.
 
         Raises:
-            errors.IrisError: The rest of the body will not come.
+            errors.IrisError: The rest of the body will not come, or was given up.
         """
         ...
 
--- a/src/irisstand/shared_bodies.py
+++ b/src/irisstand/shared_bodies.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing
 
+from irisstand import errors
+
 # Smaller bodies do not count.
 LARGE_BODY_BYTES = 64 * 1024
 # A body that no connection has begun to send for this long after it was complete is not sent any more.
@@ -102,9 +104,13 @@
         self.position = 0
 
     async def read(self) -> bytes:
-        """Return the next piece, or nothing at the end."""
+        """Return the next piece, or nothing at the end.
+
+        Raises:
+            errors.BodyClosedError: The reader is closed.
+        """
         if self.body is None:
-            return b""
+            raise errors.BodyClosedError("the reader of the body is closed")
         piece = self.body[self.position : self.position + PIECE_BYTES]
         self.position += len(piece)
         return piece
--- a/tests/dataplane/test_stored_bodies.py
+++ b/tests/dataplane/test_stored_bodies.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
-from irisstand import counters, resource_budget
-from irisstand.dataplane.cache import object_cache, objects, stored_body
+import pytest
+
+from irisstand import counters, errors, resource_budget, shared_bodies
+from irisstand.dataplane.cache import object_cache, objects, ranges, stored_body
 from irisstand.http1 import body_source
 from irisstand.state import versions
 
@@ -125,3 +127,50 @@
         fill_of_trickle.add(b"x")
     fill_of_trickle.complete()
     assert kept == [[b"x" * 1000]]
+
+
+async def read_after_close(reader):
+    await reader.read()
+    reader.close()
+    with pytest.raises(errors.BodyClosedError):
+        await reader.read()
+
+
+def test_closed_reader_of_a_stored_body_does_not_end_it():
+    """Guards against MIXED: a reader closed in the midst of a body, whose end looks like the body's."""
+    cache, _ = make_cache()
+    asyncio.run(read_after_close(fill(cache).open_reader()))
+
+
+def test_closed_reader_of_a_body_that_is_held_whole_does_not_end_it():
+    _, budget = make_cache()
+    asyncio.run(read_after_close(shared_bodies.SharedBodyReader(budget.bodies, PIECE * PIECES)))
+
+
+def test_closed_fill_does_not_end_its_body():
+    cache, _ = make_cache()
+    source = Source()
+
+    async def read_closed():
+        stored = stored_body.StoredBody(list(source.pieces), None)
+        await read_after_close(cache.fill("a", content(stored.open_reader())))
+
+    asyncio.run(read_closed())
+
+
+def test_freed_body_has_no_readers():
+    cache, _ = make_cache()
+    stored = fill(cache)
+    cache.drop("a")
+    with pytest.raises(errors.BodyClosedError):
+        stored.open_reader()
+
+
+def test_range_of_a_body_that_ends_too_early_is_an_error():
+    async def read():
+        part = ranges.RangeSource(Source(), 0, LENGTH + 1)
+        while await part.read():
+            pass
+
+    with pytest.raises(errors.BodyClosedError):
+        asyncio.run(read())
