Large responses: all bytes that a stream holds count in the budget

What callers saw: nothing yet. An answer without a length holds up to its first MiB and a read from the socket until its client reads; it counted as a window of 384 KiB, so that a process could hold more than its machine's memory allows (FAULT). Since ended answers keep their bytes, more would.

Change: a stream counts what it holds, a window at least.

Test: 1 MiB and 5,000 bytes held counted 393,216 before; after, all of it, and the window again once it was read.

--- a/src/irisstand/dataplane/upstream/response_stream.py
+++ b/src/irisstand/dataplane/upstream/response_stream.py
@@ -12,7 +12,8 @@
 WINDOW_BYTES = 128 * 1024
 # Reading goes on once no more than this is left.
 RESUME_BYTES = 32 * 1024
-# What a stream holds at most: the window, and what one read from the socket can add to it.
+# What a stream counts at least: the window, and what one read from the socket can add to it. The beginning of
+# a body without a length is larger, as it was to be held whole.
 STREAM_BYTES = 3 * WINDOW_BYTES
 # The largest response, whatever length it announces.
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
@@ -105,6 +106,7 @@
         if self.received > BODY_LIMIT_BYTES:
             raise ValueError("the response body is over the size limit")
         self.buffer += data
+        self._count()
         self.arrived.set()
         if len(self.buffer) >= WINDOW_BYTES:
             self.connection.pause_reading()
@@ -152,6 +154,7 @@
             await self.arrived.wait()
         piece = bytes(self.buffer[: body_source.PIECE_BYTES])
         del self.buffer[: len(piece)]
+        self._count()
         self.speed.add(len(piece))
         if len(self.buffer) <= RESUME_BYTES and not self.has_ended:
             self.connection.resume_reading()
@@ -174,6 +177,14 @@
         if self.holding is not None:
             self.holding.close()
 
+    def _count(self) -> None:
+        """Count what the stream holds."""
+        size = max(STREAM_BYTES, len(self.buffer))
+        if size != self.retained_bytes:
+            self.retained_bytes = size
+            if self.holding is not None:
+                self.holding.set(size)
+
     def _start_claim_timer(self, checks_left: int) -> None:
         loop = asyncio.get_running_loop()
         self.claim_timer = loop.call_later(CLAIM_SECONDS / CLAIM_CHECKS, self._check_claim, checks_left - 1)
--- a/tests/dataplane/test_given_up_answers.py
+++ b/tests/dataplane/test_given_up_answers.py
@@ -6,7 +6,7 @@
 import scripted_transport
 from scripted_transport import in_chunks, read_all, with_length
 
-from irisstand import errors
+from irisstand import counters, errors, resource_budget
 from irisstand.dataplane.nodes import direct
 from irisstand.dataplane.upstream import response_stream
 from irisstand.http1 import body_source
@@ -136,3 +136,20 @@
         return response.status, await read_all(response.body) == BODY, len(asked)
 
     assert virtual_time.run(scenario()) == (200, True, 2)
+
+
+def test_all_bytes_that_a_stream_holds_count():
+    """Guards against FAULT: the first MiB of a body without a length, held and counted as a window."""
+
+    async def scenario():
+        budget = resource_budget.ResourceBudget(100 * len(BODY), 10, lambda: 0.0, counters.Counters())
+        stream = response_stream.ResponseStream(None, OpenConnection(), budget)
+        stream.feed(BODY)
+        stream.finish()
+        held = [budget.held]
+        while await stream.read():
+            held.append(budget.held)
+        stream.close()
+        return held[0], held[-1], budget.held
+
+    assert virtual_time.run(scenario()) == (len(BODY), response_stream.STREAM_BYTES, 0)
