--- a/tests/mutation/run_mutations.py
+++ b/tests/mutation/run_mutations.py
@@ -18,6 +18,7 @@
 import dataplane_mutations
 import departure_mutations
 import direct_edge_mutations
+import given_up_mutations
 import http_mutations
 import late_response_mutations
 import passing_on_mutations
@@ -37,6 +38,7 @@
     + http_mutations.MUTATIONS
     + passing_on_mutations.MUTATIONS
     + late_response_mutations.MUTATIONS
+    + given_up_mutations.MUTATIONS
 )
 
 
