Object holders: the fetch that follows a holder's "too large" takes a token of the retry budget

What callers saw: nothing; origins got each large object that a node's holder had not been asked for before twice, under one id: once for the holder, which can't pass it on, once for the edge. Reads of many different large objects so sent as many retries as requests (BUDGET allows a fifth).

Change: the edge's fetch takes a token of its retry budget. Without one the read gets 503, and the key is remembered, so that the client's next try goes to an origin at once.

Test: 100 reads of different large objects; before, all 100 were sent twice; after, no more than the budget allows, and the next read of a refused one is served.

--- a/src/irisstand/dataplane/cache/object_holders.py
+++ b/src/irisstand/dataplane/cache/object_holders.py
@@ -7,10 +7,12 @@
 
 import asyncio
 import collections
+import collections.abc
 import functools
 
 from irisstand import drain_guard, errors, node_context
 from irisstand.balancing import rendezvous
+from irisstand.balancing import retry_budget as budgets
 from irisstand.dataplane.cache import holder_messages, holder_read, object_lookup, objects
 from irisstand.dataplane.retry import events, holder_policy
 from irisstand.dataplane.routing import route_table, routes
@@ -34,6 +36,7 @@
         context: The node's context.
         table: The route table.
         origins: The origin endpoints; where their rate limit is scarce, a holder asks another holder.
+        retry_budget: Returns this node's retry budget for a service.
     """
 
     def __init__(
@@ -41,7 +44,9 @@
         context: node_context.NodeContext,
         table: route_table.RouteTable,
         origins: endpoint_pool.EndpointPool,
+        retry_budget: collections.abc.Callable[[str], budgets.RetryBudget],
     ) -> None:
+        self.retry_budget = retry_budget
         self.context = context
         self.table = table
         self.origins = origins
@@ -180,6 +185,9 @@
             raise
         if holder_messages.TooLarge.is_in(body):
             self.note_large(key)
+            # The holder has had an origin send the object, so this node's own fetch is a retry.
+            if not self.retry_budget(request.service).take():
+                raise errors.LimitExceededError("the object has to be fetched again, and no retry is left")
             raise errors.OriginFailedError("the object is too large for its holder")
         return holder_messages.object_from_wire(body, sent_at, cached)
 
--- a/src/irisstand/dataplane/nodes/direct.py
+++ b/src/irisstand/dataplane/nodes/direct.py
@@ -52,7 +52,7 @@
         self.table = route_table.RouteTable(context)
         self.endpoints = endpoint_pool.EndpointPool(context, view, self.table, self.header_names, connect)
         self.origins = client.UpstreamClient(context, view, self.table, self.endpoints)
-        self.holders = object_holders.ObjectHolders(context, self.table, self.endpoints)
+        self.holders = object_holders.ObjectHolders(context, self.table, self.endpoints, self.origins.budget)
         self.reader = object_reader.ObjectReader(context, view, self.origins, self.holders.fetch_from_holder)
         self.object_server = object_server.ObjectServer(context, self.table, self.reader)
 
--- a/tests/dataplane/test_large_objects_at_holders.py
+++ b/tests/dataplane/test_large_objects_at_holders.py
@@ -2,6 +2,7 @@
 
 import direct_edge
 
+from irisstand import errors
 from irisstand.dataplane.cache import holder_messages
 from irisstand.state import versions
 
@@ -59,3 +60,30 @@
         return first.body, second.body, asked_once, len(asked)
 
     assert direct_edge.run_scenario(scenario) == (b"whole", b"whole", 1, 1)
+
+
+def test_fetches_that_follow_a_holder_stay_within_the_retry_budget():
+    """Guards against BUDGET: each new large object is run twice, for its holder and for the edge."""
+    objects_read = 100
+
+    async def scenario(harness):
+        async def call(address, name, kind, body, timeout_seconds):
+            return list(holder_messages.TooLarge().to_wire())
+
+        harness.add_member("holder-1", "holder")
+        harness.context.transport.call = call
+        harness.direct_node.endpoints.fleet.uses_holders = lambda: True
+        harness.direct_node.endpoints.fleet.may_hold = lambda route: True
+        statuses = []
+        for number in range(objects_read):
+            try:
+                statuses.append((await harness.ask(f"/objects/{number}")).status)
+            except errors.LimitExceededError as error:
+                statuses.append(error.status)
+        again = (await harness.ask(f"/objects/{objects_read - 1}")).status
+        budget = harness.direct_node.origins.budget("s")
+        return statuses.count(200), again, budget.allowance + budget.share * objects_read
+
+    served, again, allowed = direct_edge.run_scenario(scenario)
+    assert 0 < served <= allowed
+    assert again == 200
