--- a/tests/dataplane/test_refetches.py
+++ b/tests/dataplane/test_refetches.py
@@ -29,6 +29,17 @@
     harness.respond = lambda key, headers, body: origin(headers["x-request-id"])
 
 
+def harness_of_large_objects():
+    """Return a node whose origins answer with a large object, and the ids of the requests that they get."""
+    asked = []
+
+    def answer(request_id):
+        asked.append(request_id)
+        return [in_chunks(request_id, LARGE)]
+
+    return scripted_transport.Harness(answer), asked
+
+
 @pytest.mark.parametrize("attempts", [1, 2, 3])
 def test_object_that_purges_outrun_is_fetched_as_often_as_its_route_allows(attempts):
     """Guards against BUDGET: a read that fetched again, at once, until its deadline."""
@@ -90,13 +101,7 @@
     monkeypatch.setattr(body_owners, "is_taken", lambda body: True)
 
     async def scenario():
-        asked = []
-
-        def answer(request_id):
-            asked.append(request_id)
-            return [in_chunks(request_id, LARGE)]
-
-        harness = scripted_transport.Harness(answer)
+        harness, asked = harness_of_large_objects()
         with pytest.raises(errors.LimitExceededError):
             await harness.ask("/objects/1")
         return len(asked)
@@ -104,15 +109,9 @@
     assert virtual_time.run(scenario()) == 2
 
 
-def test_equal_reads_of_one_large_object_each_get_it_whole_from_one_run():
+def test_equal_reads_of_one_large_object_each_get_it_whole_from_a_run_of_their_own():
     async def scenario():
-        asked = []
-
-        def answer(request_id):
-            asked.append(request_id)
-            return [in_chunks(request_id, LARGE)]
-
-        harness = scripted_transport.Harness(answer)
+        harness, asked = harness_of_large_objects()
         reads = [harness.ask("/objects/1", request_id=f"r{number}") for number in range(4)]
         answers = await asyncio.gather(*reads)
         bodies = [await scripted_transport.read_all(found.body) for found in answers]
