Request bodies: the decoder of chunks is taken only for a request that has a body

Found by the test command: 18 tests of departing clients failed, as their stand-in for sanic's stream has no decoder, which a request without a body does not need.

Change: the reader takes the decoder when it begins to read a body. Callers saw nothing.

--- a/src/irisstand/dataplane/http/request_body.py
+++ b/src/irisstand/dataplane/http/request_body.py
@@ -36,8 +36,7 @@
         self.idle_seconds = idle_seconds
         self.received = 0
         self.length: int | None = None
-        # The stream has another one for the next request.
-        self.decoder = stream.decoder
+        self.decoder: typing.Any = None
 
     async def read(self) -> bytes | streamed_body.StreamedBody:
         """Return the complete body, or one that is passed on while it arrives if it is large.
@@ -51,6 +50,8 @@
             return b""
         if self.stream.request_bytes > self.limit_bytes:
             raise _too_large()
+        # The stream has another one for the next request.
+        self.decoder = self.stream.decoder
         # Sanic marks a chunked body with another value than True.
         self.length = self.stream.request_bytes if self.stream.request_body is True else None
         body = await self._read_beginning()
