--- a/tests/support/strict_edge.py
+++ b/tests/support/strict_edge.py
@@ -31,11 +31,13 @@
 class Edge:
     """A client listener with its node and a lenient origin."""
 
-    async def start(self):
+    async def make_harness(self, settings):
         self.origin = lenient_origin.LenientOrigin()
-        address = await self.origin.start()
+        return OriginHarness(await self.origin.start(), settings)
+
+    async def start(self):
         settings = direct_edge.SETTINGS._replace(name=f"strict-{next(NUMBERS)}")
-        harness = OriginHarness(address, settings)
+        harness = await self.make_harness(settings)
         harness.put("ledger", "rate-parts", {"units": {settings.name: 1000}})
         # The timeouts are so long that even on a busy machine no request is rejected or retried for lack of
         # time.
