Errors of bodies: they are kinds of recorded errors, with no code of their own

Change: a closed body is a failed origin's response, and an incomplete request is a bad one; both inherit code, status, remedy and wait. The record of errors stays as it is.

--- a/src/irisstand/dataplane/http/request_body.py
+++ b/src/irisstand/dataplane/http/request_body.py
@@ -15,11 +15,9 @@
 TIMEOUT_RESOLUTION_SECONDS = 0.25
 
 
-class IncompleteRequestError(errors.IrisError, is_registered=False):
+class IncompleteRequestError(errors.BadRequestError, is_registered=False):
     """The end of a request's body was reached without all of its bytes: they went elsewhere."""
 
-    code, status, remedy = "incomplete-request", 400, "send the request again"
-
 
 class RequestBodyReader:
     """Reads the body of one request.
--- a/src/irisstand/errors/requests.py
+++ b/src/irisstand/errors/requests.py
@@ -84,12 +84,9 @@
     default_retry_after = 1.0
 
 
-class BodyClosedError(base.IrisError, is_registered=False):
+class BodyClosedError(OriginFailedError, is_registered=False):
     """The rest of a response's body can't be read, as this node has given it up."""
 
-    code, status, remedy = "body-closed", 502, "ask again; a read is safe to repeat"
-    default_retry_after = 1.0
-
 
 class NoShieldError(base.IrisError):
     """An edge cannot forward a request, because no shield is reachable from it."""
